--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints one JSON line."""
--- /dev/null
+++ b/src/cyclamenvane/calls/__init__.py
@@ -0,0 +1,54 @@
+"""What a call is: its request, answer, body, context and allowance."""
+
+from __future__ import annotations
+
+from .body import (
+    CHUNK_BYTES,
+    PIPE_BYTES,
+    Body,
+    BodyFailed,
+    ChunkedBody,
+    Pipe,
+    read_all,
+)
+from .context import CONTEXT_HEADER, CallContext, open_token, read_context, sign_context
+from .importance import RANKS, RANKS_PER_IMPORTANCE, Importance, rank_call
+from .message import (
+    Answer,
+    Headers,
+    Outcome,
+    Refusal,
+    Report,
+    Request,
+    refuse_call,
+    report_unknown,
+)
+from .scope import CallScope
+
+__all__ = [
+    "CHUNK_BYTES",
+    "CONTEXT_HEADER",
+    "PIPE_BYTES",
+    "RANKS",
+    "RANKS_PER_IMPORTANCE",
+    "Answer",
+    "Body",
+    "BodyFailed",
+    "CallContext",
+    "CallScope",
+    "ChunkedBody",
+    "Headers",
+    "Importance",
+    "Outcome",
+    "Pipe",
+    "Refusal",
+    "Report",
+    "Request",
+    "open_token",
+    "rank_call",
+    "read_all",
+    "read_context",
+    "refuse_call",
+    "report_unknown",
+    "sign_context",
+]
--- /dev/null
+++ b/src/cyclamenvane/cli/demo.py
@@ -0,0 +1,174 @@
+"""The demonstration: nodes and stand-ins in one process, a surge, and a table."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import timedelta
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from ..clock import SystemClock
+from ..membership import TargetRecord
+from ..node import Node
+from ..platform import MemoryPlatform
+from ..policy import Edit, accept_edit
+from ..settings import KeySettings, NodeSettings, Settings
+from ..standins import TargetStandIn
+from ..wire import derive_credential
+
+__all__ = ["DemoCommand"]
+
+_KEYS = KeySettings(
+    nodes="demo-key-of-the-nodes",
+    callers="demo-key-of-the-callers",
+    operators="demo-key-of-the-operators",
+    targets="demo-key-of-the-targets",
+)
+_SERVICE = "truck-tracking"
+_SLOTS = 8
+_DELAY_S = 0.02
+_JOIN_S = 10.0
+_POLICY = """\
+[teams.tracking]
+objective = "recovery"
+
+[teams.tracking.services.truck-tracking]
+deadline_ms = 500
+extra_attempts = 2
+
+[[teams.tracking.services.truck-tracking.importance]]
+callers = ["crane-crews"]
+level = "critical"
+
+[[teams.tracking.services.truck-tracking.importance]]
+callers = ["foremen"]
+level = "low"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class _Phase:
+    name: str
+    seconds: float
+    crews: int
+    foremen: int
+
+
+_PHASES = (
+    _Phase("before", 3, 6, 6),
+    _Phase("surge", 6, 6, 60),
+    _Phase("after", 3, 6, 6),
+)
+
+
+class DemoCommand(Command):
+    """Runs three nodes, three targets and a surge of callers."""
+
+    name = "demo"
+    description = "Show a surge on real nodes and small stand-ins in this process"
+    options = [option("scale", None, "Length of the phases", flag=False, default="1")]
+
+    def handle(self) -> int:
+        """Run the demonstration."""
+        scale = float(self.option("scale"))
+        platform = MemoryPlatform(SystemClock())
+        edit = Edit("demo", "tracking", 0, _POLICY, "demo")
+        accept_edit(platform.table, edit, SystemClock())
+        nodes = [
+            _start_node(platform, zone) for zone in ("amman-1", "amman-1", "amman-2")
+        ]
+        targets = [_start_target(node) for node in nodes]
+        try:
+            _wait_joined(nodes)
+            for phase in _PHASES:
+                self._run_phase(phase, scale, nodes)
+        finally:
+            for node in nodes:
+                node.kill()
+            for target in targets:
+                target.stop()
+        runs = sum(sum(target.runs.values()) for target in targets)
+        self.line(
+            f"the targets ran {runs} requests and had to shed none themselves"
+            if not any(target.shed for target in targets)
+            else f"the targets ran {runs} requests"
+        )
+        return 0
+
+    def _run_phase(self, phase: _Phase, scale: float, nodes: list[Node]) -> None:
+        counts: dict[str, Counter[str]] = {
+            "crane-crews": Counter(),
+            "foremen": Counter(),
+        }
+        end = time.monotonic() + phase.seconds * scale
+        with ThreadPoolExecutor(phase.crews + phase.foremen) as pool:
+            for index in range(phase.crews + phase.foremen):
+                name = "crane-crews" if index < phase.crews else "foremen"
+                node = nodes[index % len(nodes)]
+                pool.submit(_send_calls, node, name, end, counts[name])
+        self.line(f"{phase.name}: {phase.crews} crane crews, {phase.foremen} foremen")
+        rows = [[name, *_describe(count)] for name, count in counts.items()]
+        headers = ["caller", "served", "refused", "other", "retried by callers"]
+        texts = [[str(cell) for cell in row] for row in rows]
+        self.render_table(headers, texts, style="compact")  # type: ignore[arg-type]
+
+
+def _describe(count: Counter[str]) -> list[int]:
+    return [count["200"], count["503"], count["other"], count["again"]]
+
+
+def _start_node(platform: MemoryPlatform, zone: str) -> Node:
+    node = NodeSettings(
+        availability_zone=zone,
+        host="127.0.0.1",
+        stream_port=0,
+        gossip_port=0,
+        front_port=0,
+        control_port=0,
+    )
+    started = Node(Settings(node=node, keys=_KEYS), SystemClock(), platform)
+    started.start()
+    return started
+
+
+def _start_target(node: Node) -> TargetStandIn:
+    target = TargetStandIn(_SLOTS, _DELAY_S).start()
+    node.targets.announce(TargetRecord(_SERVICE, target.address, _SLOTS))
+    return target
+
+
+def _wait_joined(nodes: list[Node]) -> None:
+    end = time.monotonic() + _JOIN_S
+    while time.monotonic() < end:
+        found = [len(node.router.directory.find(_SERVICE)) for node in nodes]
+        if all(node.ready for node in nodes) and min(found) == len(nodes):
+            return
+        time.sleep(0.05)
+
+
+def _send_calls(node: Node, caller: str, end: float, counts: Counter[str]) -> None:
+    secret = derive_credential(_KEYS.callers.encode(), caller).decode()
+    headers = {"Authorization": f"Bearer {caller}.{secret}"}
+    address = node.front_listener.address
+    connection = http.client.HTTPConnection(*address, timeout=5)
+    failed = False
+    while time.monotonic() < end:
+        counts["again"] += failed
+        try:
+            connection.request("GET", f"/{_SERVICE}/positions/7", headers=headers)
+            response = connection.getresponse()
+            response.read()
+            status = str(response.status)
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            status = "other"
+        failed = status != "200"
+        counts[status if status in ("200", "503") else "other"] += 1
+        threading.Event().wait(timedelta(milliseconds=10).total_seconds())
+    connection.close()
--- /dev/null
+++ b/src/cyclamenvane/effects/__init__.py
@@ -0,0 +1,34 @@
+"""Requests that must take effect at most once."""
+
+from __future__ import annotations
+
+from .archive import Archive, pack_answer, unpack_answer
+from .claim import Claim, bind_key, close_key, move_key
+from .ledger import Ledger, Record, Standing
+from .ticket import (
+    EPOCH,
+    EPOCHS_KEPT,
+    Ticket,
+    format_ticket,
+    mint_ticket,
+    parse_ticket,
+)
+
+__all__ = [
+    "EPOCH",
+    "EPOCHS_KEPT",
+    "Archive",
+    "Claim",
+    "Ledger",
+    "Record",
+    "Standing",
+    "Ticket",
+    "bind_key",
+    "close_key",
+    "format_ticket",
+    "mint_ticket",
+    "move_key",
+    "pack_answer",
+    "parse_ticket",
+    "unpack_answer",
+]
--- /dev/null
+++ b/src/cyclamenvane/effects/ticket.py
@@ -0,0 +1,63 @@
+"""Tickets: names of requests that bind each to one run of one node.
+
+A request that must take effect at most once is executed only by the node run
+(`session`) that its ticket names, and that run remembers every ticket it has
+seen. So no write to the platform is needed before the request is dispatched,
+and two zones that are cut off from each other cannot both run it.
+
+`epoch` counts the minutes of that run by its own monotonic clock. A run takes
+tickets of its last few epochs only, and so may forget older ones.
+
+    >>> parse_ticket("t1.a1b2.7.c3d4")
+    Ticket(session='a1b2', epoch=7, nonce='c3d4')
+"""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from datetime import timedelta
+
+__all__ = [
+    "EPOCH",
+    "EPOCHS_KEPT",
+    "Ticket",
+    "format_ticket",
+    "mint_ticket",
+    "parse_ticket",
+]
+
+EPOCH = timedelta(minutes=1)
+EPOCHS_KEPT = 5
+_PREFIX = "t1"
+_NONCE_BYTES = 9
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request's name, the node run that may execute it, and its epoch."""
+
+    session: str
+    epoch: int
+    nonce: str
+
+
+def mint_ticket(session: str, epoch: int) -> Ticket:
+    """Return a new ticket for a node run."""
+    return Ticket(session, epoch, secrets.token_hex(_NONCE_BYTES))
+
+
+def format_ticket(ticket: Ticket) -> str:
+    """Return a ticket as the text of an idempotency key."""
+    return f"{_PREFIX}.{ticket.session}.{ticket.epoch}.{ticket.nonce}"
+
+
+def parse_ticket(text: str) -> Ticket | None:
+    """Return the ticket in a key, or None when the key is no ticket."""
+    parts = text.split(".")
+    if len(parts) != 4 or parts[0] != _PREFIX:
+        return None
+    _, session, epoch, nonce = parts
+    if not (session and nonce and epoch.isdecimal() and len(epoch) < 12):
+        return None
+    return Ticket(session, int(epoch), nonce)
--- /dev/null
+++ b/src/cyclamenvane/kernel/hook.py
@@ -0,0 +1,47 @@
+"""The hooks that plug-ins implement.
+
+A plug-in is a module or object that implements some of these hooks and
+registers itself through an entry point in the group `cyclamenvane`. The parts
+that ship with the library register in the same way. Hooks are called at start
+only; what they return is kept, so no hook call lies on the path of a call.
+
+    from cyclamenvane.kernel import hookimpl
+
+    @hookimpl
+    def cyclamenvane_open_platform(settings, clock):
+        if settings.kind == "mine":
+            return MyPlatform(settings.address, clock)
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pluggy
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cleo.commands.command import Command
+
+    from ..clock import Clock
+    from ..platform import Platform
+    from ..settings import PlatformSettings
+
+__all__ = ["PROJECT", "hookimpl", "hookspec"]
+
+PROJECT = "cyclamenvane"
+hookspec = pluggy.HookspecMarker(PROJECT)
+hookimpl = pluggy.HookimplMarker(PROJECT)
+
+
+@hookspec(firstresult=True)
+def cyclamenvane_open_platform(
+    settings: PlatformSettings, clock: Clock
+) -> Platform | None:
+    """Return the platform's table and object store, or None for another kind."""
+
+
+@hookspec
+def cyclamenvane_commands() -> Sequence[Command]:
+    """Return commands to add to the command line."""
--- /dev/null
+++ b/src/cyclamenvane/membership/__init__.py
@@ -0,0 +1,31 @@
+"""Which nodes and targets there are, without a list kept by anybody."""
+
+from __future__ import annotations
+
+from .gossip import Gossip, bind_gossip
+from .member import (
+    MalformedMember,
+    Member,
+    Standing,
+    TargetRecord,
+    pack_member,
+    unpack_member,
+)
+from .roster import ROW_RENEWAL, read_rows, write_row
+from .view import Change, View
+
+__all__ = [
+    "ROW_RENEWAL",
+    "Change",
+    "Gossip",
+    "MalformedMember",
+    "Member",
+    "Standing",
+    "TargetRecord",
+    "View",
+    "bind_gossip",
+    "pack_member",
+    "read_rows",
+    "unpack_member",
+    "write_row",
+]
--- /dev/null
+++ b/src/cyclamenvane/membership/roster.py
@@ -0,0 +1,48 @@
+"""How a node finds others when it starts: rows on the platform, and seeds.
+
+Each node keeps one row in the platform's table and renews it a few times an
+hour. A starting node reads some rows of each zone, and falls back on the seeds
+from its settings when the platform cannot be read. One node that answers is
+enough: it gives its whole view.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from ..platform import PlatformError, Table, Write
+from .member import MalformedMember, Member, dump_member, load_member
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["ROW_LIFETIME", "ROW_RENEWAL", "read_rows", "write_row"]
+
+ROW_RENEWAL = timedelta(minutes=10)
+ROW_LIFETIME = timedelta(minutes=30)
+_ROWS_READ = 64
+_PREFIX = "nodes/"
+
+
+def write_row(table: Table, member: Member) -> Result[None, PlatformError]:
+    """Write a node's own row."""
+    key = f"{_PREFIX}{member.zone}/{member.name}"
+    return table.commit([Write(key, dump_member(member), lifetime=ROW_LIFETIME)])
+
+
+def read_rows(table: Table, zone: str) -> Result[tuple[Member, ...], PlatformError]:
+    """Return members of a zone out of their rows; of all zones for ''."""
+    prefix = f"{_PREFIX}{zone}/" if zone else _PREFIX
+    rows = table.scan(prefix, _ROWS_READ)
+    return rows.map(lambda found: tuple(_load_rows(row.value for row in found)))
+
+
+def _load_rows(values: Iterable[bytes]) -> Iterable[Member]:
+    for value in values:
+        try:
+            yield load_member(value)
+        except MalformedMember:
+            continue
--- /dev/null
+++ b/src/cyclamenvane/node/execution.py
@@ -0,0 +1,309 @@
+"""Serves calls at the targets of this node's VM.
+
+Every call to a target passes here, wherever it entered: the ledger of tickets,
+the bound on re-sends, the gate, then the exchange with the target itself.
+"""
+
+from __future__ import annotations
+
+import secrets
+import threading
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ..admission import ADMITTED, ResendGuard, Waiting
+from ..calls import (
+    CONTEXT_HEADER,
+    Answer,
+    BodyFailed,
+    CallScope,
+    ChunkedBody,
+    Headers,
+    Refusal,
+    Report,
+    Request,
+    rank_call,
+    read_all,
+    refuse_call,
+    report_unknown,
+    sign_context,
+)
+from ..effects import Archive, Ledger, Standing, Ticket, parse_ticket
+from .connection import exchange
+from .target import LocalTarget, LocalTargets
+
+if TYPE_CHECKING:
+    from concurrent.futures import Executor
+
+    from ..clock import Clock
+    from ..policy import Rulebook
+
+__all__ = ["CALLER_HEADER", "DEADLINE_HEADER", "Execution"]
+
+DEADLINE_HEADER = "Cyclamenvane-Deadline-Ms"
+CALLER_HEADER = "Cyclamenvane-Caller"
+_PRIVATE_HEADERS = frozenset(
+    {
+        "authorization",
+        "host",
+        CONTEXT_HEADER.lower(),
+        CALLER_HEADER.lower(),
+        DEADLINE_HEADER.lower(),
+    }
+)
+_SHED_STATUS = 503
+_MILLISECOND = timedelta(milliseconds=1)
+_LEAST_RETRY_AFTER = timedelta(milliseconds=200)
+
+Reply = Callable[[Answer], None]
+
+
+class Execution:
+    """Runs calls at local targets, and knows the scopes of those under way."""
+
+    def __init__(
+        self,
+        targets: LocalTargets,
+        ledger: Ledger,
+        archive: Archive,
+        rulebook: Callable[[], Rulebook],
+        key: bytes,
+        clock: Clock,
+        executor: Executor,
+    ) -> None:
+        self.resends = ResendGuard(clock)
+        self._targets = targets
+        self._ledger = ledger
+        self._archive = archive
+        self._rulebook = rulebook
+        self._key = key
+        self._clock = clock
+        self._executor = executor
+        self._scopes: dict[str, CallScope] = {}
+        self._lock = threading.Lock()
+        self._under_way = 0
+        self._idle = threading.Condition(self._lock)
+
+    @property
+    def under_way(self) -> int:
+        """The calls that have been taken in and not answered yet."""
+        return self._under_way
+
+    def find_scope(self, dispatch: str) -> CallScope | None:
+        """Return the scope of a dispatch that is under way on this VM."""
+        return self._scopes.get(dispatch)
+
+    def owns(self, dispatch: str) -> bool:
+        """Whether a dispatch was made by this node run, now or before."""
+        return dispatch.startswith(f"{self._ledger.session}-")
+
+    def wait_idle(self, timeout: timedelta) -> bool:
+        """Wait until no call is under way; return False on timeout."""
+        with self._idle:
+            return self._idle.wait_for(
+                lambda: not self._under_way, timeout.total_seconds()
+            )
+
+    def serve(
+        self, request: Request, scope: CallScope, reply: Reply, inline: bool = False
+    ) -> None:
+        """Take in a call; `reply` gets its one answer.
+
+        With `inline` a call that is admitted at once runs in this thread.
+        """
+        with self._lock:
+            self._under_way += 1
+        answer = self._count_end(reply)
+        ticket = parse_ticket(request.key) if request.key else None
+        if request.key and ticket is None:
+            answer(refuse_call(Refusal.BAD_REQUEST, "the key is no ticket"))
+        elif ticket is not None:
+            self._serve_once(ticket, request, scope, answer, inline)
+        else:
+            self._admit(request, scope, answer, inline)
+
+    def sweep(self) -> None:
+        """Start and refuse waiting calls as time passes."""
+        for target in self._targets.all():
+            for waiting in target.gate.sweep():
+                waiting.start()
+
+    def _count_end(self, reply: Reply) -> Reply:
+        def end(answer: Answer) -> None:
+            try:
+                reply(answer)
+            finally:
+                with self._idle:
+                    self._under_way -= 1
+                    self._idle.notify_all()
+
+        return end
+
+    def _serve_once(
+        self,
+        ticket: Ticket,
+        request: Request,
+        scope: CallScope,
+        reply: Reply,
+        inline: bool,
+    ) -> None:
+        caller = request.context.caller
+        unused = scope.context.allowance
+        spare = Report(unused=unused)
+        standing = self._ledger.begin(
+            caller, ticket, lambda answer: reply(answer.with_report(spare))
+        )
+        if standing in (Standing.WAIT, Standing.ANSWERED):
+            return
+        if standing is not Standing.RUN:
+            self._executor.submit(
+                lambda: reply(self._archive.find(caller, ticket).with_report(spare))
+            )
+            return
+
+        def settle(answer: Answer) -> None:
+            answer = _hold_whole(answer)
+            self._ledger.finish(caller, ticket, answer)
+            reply(answer)
+
+        self._admit(request, scope, settle, inline)
+
+    def _admit(
+        self, request: Request, scope: CallScope, reply: Reply, inline: bool
+    ) -> None:
+        target = self._targets.find(request.service)
+        refusal = self._check(target, request)
+        if refusal is not None or target is None:
+            reply(self._refuse(refusal or Refusal.LEAVING, scope, target))
+            return
+        waiting = self._make_waiting(target, request, scope, reply)
+        verdict = target.gate.offer(waiting)
+        if verdict is ADMITTED and inline:
+            self._run(target, request, scope, reply)
+        elif verdict is ADMITTED:
+            self._executor.submit(self._run, target, request, scope, reply)
+        elif isinstance(verdict, Refusal):
+            reply(self._refuse(verdict, scope, target))
+        else:
+            scope.on_cancel(lambda: self._withdraw(target, waiting))
+
+    def _check(self, target: LocalTarget | None, request: Request) -> Refusal | None:
+        if target is None or target.record.leaving:
+            return Refusal.LEAVING
+        book = self._rulebook().find(request.service)
+        if target.record.address in book.leaving:
+            return Refusal.LEAVING
+        if request.request_id and not self.resends.admit(
+            request.context.caller, request.request_id, book.resends
+        ):
+            return Refusal.RESENDS
+        return None
+
+    def _make_waiting(
+        self, target: LocalTarget, request: Request, scope: CallScope, reply: Reply
+    ) -> Waiting:
+        context = request.context
+        return Waiting(
+            rank=rank_call(context.importance, context.root),
+            depth=context.depth,
+            deadline=request.deadline,
+            arrived=self._clock.monotonic(),
+            start=lambda: self._executor.submit(
+                self._run, target, request, scope, reply
+            ),
+            refuse=lambda refusal: reply(self._refuse(refusal, scope, target)),
+        )
+
+    def _withdraw(self, target: LocalTarget, waiting: Waiting) -> None:
+        if target.gate.withdraw(waiting):
+            waiting.refuse(Refusal.CANCELLED)
+
+    def _refuse(
+        self, refusal: Refusal, scope: CallScope, target: LocalTarget | None
+    ) -> Answer:
+        report = self._report(scope, target)
+        return refuse_call(refusal, report=report, retry_after=_LEAST_RETRY_AFTER)
+
+    def _report(self, scope: CallScope, target: LocalTarget | None) -> Report:
+        own = target.gate.level if target else scope.level
+        return Report(scope.left, min(own, scope.level), own, scope.retried)
+
+    def _run(
+        self, target: LocalTarget, request: Request, scope: CallScope, reply: Reply
+    ) -> None:
+        began = self._clock.monotonic()
+        dispatch = f"{self._ledger.session}-{secrets.token_hex(6)}"
+        self._scopes[dispatch] = scope
+
+        def end(status: int) -> None:
+            self._end(target, dispatch, scope, began, status)
+
+        answer = self._exchange(target, request, scope, dispatch, end)
+        if answer.status < 500 and request.request_id:
+            self.resends.settle(request.context.caller, request.request_id)
+        reply(answer.with_report(self._report(scope, target)))
+
+    def _exchange(
+        self,
+        target: LocalTarget,
+        request: Request,
+        scope: CallScope,
+        dispatch: str,
+        end: Callable[[int], None],
+    ) -> Answer:
+        remaining = request.deadline - self._clock.monotonic()
+        if scope.cancelled or remaining <= timedelta():
+            end(0)
+            cause = Refusal.CANCELLED if scope.cancelled else Refusal.DEADLINE
+            return refuse_call(cause)
+        headers = self._make_headers(request, scope, dispatch, remaining)
+        # A request that may not be repeated runs to its end even when its caller
+        # is gone, so that its outcome is known.
+        kept = CallScope(scope.context, scope.deadline)
+        stoppable = scope if request.repeatable else kept
+        return exchange(target.pool, request, headers, stoppable, remaining, end)
+
+    def _make_headers(
+        self, request: Request, scope: CallScope, dispatch: str, remaining: timedelta
+    ) -> Headers:
+        context = replace(
+            request.context,
+            depth=request.context.depth + 1,
+            allowance=scope.context.allowance,
+            dispatch=dispatch,
+        )
+        kept = tuple(
+            pair for pair in request.headers if pair[0].lower() not in _PRIVATE_HEADERS
+        )
+        return (
+            *kept,
+            (CONTEXT_HEADER, sign_context(context, self._key)),
+            (DEADLINE_HEADER, str(remaining // _MILLISECOND)),
+            (CALLER_HEADER, context.caller),
+        )
+
+    def _end(
+        self,
+        target: LocalTarget,
+        dispatch: str,
+        scope: CallScope,
+        began: timedelta,
+        status: int,
+    ) -> None:
+        self._scopes.pop(dispatch, None)
+        took = self._clock.monotonic() - began
+        own_time = max(timedelta(), took - scope.waited)
+        following = target.gate.finish(took, own_time, status == _SHED_STATUS)
+        if following is not None:
+            following.start()
+
+
+def _hold_whole(answer: Answer) -> Answer:
+    if not isinstance(answer.body, ChunkedBody):
+        return answer
+    try:
+        return replace(answer, body=read_all(answer.body))
+    except BodyFailed:
+        return report_unknown(Refusal.TARGET_FAILED, "its answer broke off")
--- /dev/null
+++ b/src/cyclamenvane/node/http.py
@@ -0,0 +1,94 @@
+"""Small helpers between WSGI and the library's own requests and answers."""
+
+from __future__ import annotations
+
+import http
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ..calls import Answer, Headers, Outcome, Refusal
+
+__all__ = ["collect_headers", "find_bearer", "finish_response", "reply_text"]
+
+OUTCOME_HEADER = "Cyclamenvane-Outcome"
+REASON_HEADER = "Cyclamenvane-Reason"
+_OUTCOMES = {
+    Outcome.DONE: "done",
+    Outcome.NOT_RUN: "not-run",
+    Outcome.UNKNOWN: "unknown",
+}
+_HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade"}
+)
+_BEARER = "Bearer "
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+def collect_headers(environ: Environ) -> Headers:
+    """Return the headers of a request, without those of one hop only."""
+    headers = []
+    for key, value in environ.items():
+        if key.startswith("HTTP_"):
+            name = key[5:].replace("_", "-").title()
+        elif key == "CONTENT_TYPE" and value:
+            name = "Content-Type"
+        else:
+            continue
+        if name.lower() not in _HOP_HEADERS:
+            headers.append((name, value))
+    return tuple(headers)
+
+
+def find_bearer(environ: Environ) -> str:
+    """Return the bearer credential of a request, or an empty text."""
+    value = environ.get("HTTP_AUTHORIZATION", "")
+    return value[len(_BEARER) :].strip() if value.startswith(_BEARER) else ""
+
+
+def finish_response(
+    answer: Answer, start_response: StartResponse, close: bool = False
+) -> Iterable[bytes]:
+    """Start the response for an answer and return its body."""
+    headers = [pair for pair in answer.headers if pair[0].lower() not in _HOP_HEADERS]
+    headers.append((OUTCOME_HEADER, _OUTCOMES[answer.outcome]))
+    if answer.refusal is not Refusal.NONE:
+        name = answer.refusal.name.lower().replace("_", "-")
+        headers.append((REASON_HEADER, name))
+    if answer.retry_after is not None:
+        seconds = max(1, round(answer.retry_after.total_seconds()))
+        headers.append(("Retry-After", str(seconds)))
+    length = _find_length(answer)
+    if length is not None:
+        headers.append(("Content-Length", str(length)))
+    if close:
+        headers.append(("Connection", "close"))
+    start_response(_status_line(answer.status), headers)
+    return [answer.body] if isinstance(answer.body, bytes) else answer.body
+
+
+def reply_text(
+    start_response: StartResponse, status: int, text: str, kind: str = "text/plain"
+) -> Iterable[bytes]:
+    """Start and return a short response of text."""
+    body = text.encode()
+    headers = [
+        ("Content-Type", f"{kind}; charset=utf-8"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response(_status_line(status), headers)
+    return [body]
+
+
+def _find_length(answer: Answer) -> int | None:
+    if isinstance(answer.body, bytes):
+        return len(answer.body)
+    return answer.body.length
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Answer"
--- /dev/null
+++ b/src/cyclamenvane/node/metric.py
@@ -0,0 +1,74 @@
+"""What a node counts, in a Prometheus registry of its own."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+if TYPE_CHECKING:
+    from ..calls import Answer, Request
+
+__all__ = ["CallMetrics"]
+
+_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+
+
+class CallMetrics:
+    """Calls that entered here, by service, outcome and reason."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._calls = Counter(
+            "cyclamenvane_calls",
+            "Calls that entered at this node",
+            ("service", "importance", "outcome", "reason"),
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "cyclamenvane_call_seconds",
+            "Time from a call's entry to its answer",
+            ("service",),
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.gauges = {
+            name: Gauge(f"cyclamenvane_{name}", text, labels, registry=self.registry)
+            for name, text, labels in (
+                ("members", "Nodes known", ("zone", "standing")),
+                ("peer_streams", "Open streams to other nodes", ()),
+                ("answers_dropped", "Answers nobody waited for", ()),
+                ("gossip_bytes", "Gossip bytes sent", ()),
+                ("target_in_flight", "Calls at a target", ("service",)),
+                ("target_waiting", "Calls waiting for a target", ("service",)),
+                ("target_limit", "Concurrency limit of a target", ("service",)),
+                ("target_level", "Admission level of a target", ("service",)),
+                ("section_version", "Version of a section in force", ("team",)),
+            )
+        }
+        self._children: dict[tuple, tuple] = {}
+
+    def count(self, request: Request, answer: Answer, took: timedelta) -> None:
+        """Count one call and how long it took."""
+        key = (
+            request.service,
+            request.context.importance,
+            answer.outcome,
+            answer.refusal,
+        )
+        children = self._children.get(key)
+        if children is None:
+            children = self._children[key] = self._make_children(*key)
+        counter, histogram = children
+        counter.inc()
+        histogram.observe(took.total_seconds())
+
+    def _make_children(self, service, importance, outcome, refusal) -> tuple:
+        labels = (
+            service,
+            importance.name.lower(),
+            outcome.name.lower(),
+            refusal.name.lower(),
+        )
+        return self._calls.labels(*labels), self._seconds.labels(service)
--- /dev/null
+++ b/src/cyclamenvane/node/node.py
@@ -0,0 +1,536 @@
+"""One node: it puts the parts together, starts them and ends them in order."""
+
+from __future__ import annotations
+
+import queue
+import secrets
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgpack
+
+from ..audit import ActionLog
+from ..calls import (
+    Answer,
+    CallContext,
+    CallScope,
+    Refusal,
+    Request,
+    open_token,
+    refuse_call,
+)
+from ..effects import Archive, Ledger, pack_answer, parse_ticket
+from ..kernel import load_plugins
+from ..membership import (
+    ROW_RENEWAL,
+    Gossip,
+    MalformedMember,
+    Member,
+    Standing,
+    TargetRecord,
+    View,
+    bind_gossip,
+    pack_member,
+    read_rows,
+    unpack_member,
+    write_row,
+)
+from ..policy import (
+    Rulebook,
+    Section,
+    SectionTable,
+    Spread,
+    build_rulebook,
+)
+from ..routing import (
+    Chooser,
+    Directory,
+    Endpoint,
+    EpochBook,
+    KeyedRouter,
+    Link,
+    PeerPool,
+    Router,
+)
+from ..settings import Settings, split_address
+from ..wire import (
+    ROLE_CALLER,
+    ROLE_NODE,
+    IncomingCall,
+    Peer,
+    RequestFrame,
+    StreamServer,
+    derive_credential,
+)
+from .control import Control
+from .execution import Execution
+from .front import Front
+from .listener import HttpListener
+from .metric import CallMetrics
+from .status import count_standings
+from .target import LocalTargets
+from .task import TaskPool, stop_process
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..platform import Platform
+
+__all__ = ["Node"]
+
+_SESSION_BYTES = 6
+_TASKS = 4096
+_CONTROL_LOOPS = 1
+_CONTROL_THREADS = 8
+_CONTROL_CONNECTIONS = 256
+_SWEEP = timedelta(milliseconds=20)
+_BEAT = timedelta(milliseconds=250)
+_TUNE = timedelta(milliseconds=200)
+_POLL = timedelta(milliseconds=100)
+_SAVE = timedelta(seconds=1)
+_SAVE_ACTIONS = timedelta(seconds=10)
+_JOIN_RETRY = timedelta(seconds=1)
+_REJOIN = timedelta(seconds=30)
+_START_ALONE = timedelta(seconds=10)
+_SYNC_EVERY = timedelta(seconds=20)
+_ASK_TIMEOUT = timedelta(seconds=1)
+_LEAVE_SETTLE = timedelta(seconds=2)
+_MICROSECOND = timedelta(microseconds=1)
+
+
+class Node:
+    """A running node.
+
+    `platform` may be given by whoever embeds the library; otherwise the
+    registered plug-ins open the one that the settings name.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform | None = None,
+        on_broken: Callable[[], None] = stop_process,
+    ) -> None:
+        here = settings.node
+        self.settings = settings
+        self.clock = clock
+        self.platform = platform or _open_platform(settings, clock)
+        self.tasks = TaskPool(_TASKS, on_broken)
+        self.metrics = CallMetrics()
+        self.ready = False
+        self._stopped = threading.Event()
+        self._rulebook = Rulebook()
+        self._synced_at: timedelta | None = None
+        self._node_key = settings.keys.nodes.encode()
+        self._caller_key = settings.keys.callers.encode()
+        session = secrets.token_hex(_SESSION_BYTES)
+        self.streams = StreamServer(
+            (here.host, here.stream_port),
+            session,
+            self._find_key,
+            self._serve_stream,
+            self._answer_ask,
+            clock,
+            self.tasks,
+        )
+        name = f"{here.host}:{self.streams.address[1]}"
+        self.actions = ActionLog(name, clock)
+        self.ledger = Ledger(session, clock)
+        self.archive = Archive(self.platform.objects, self.ledger)
+        self.sections = SectionTable(self._apply_section)
+        gossip_socket = bind_gossip((here.host, here.gossip_port))
+        gossip_port = gossip_socket.getsockname()[1]
+        self.view = View(self._describe(name, session, gossip_port), clock)
+        self.gossip = Gossip(
+            self.view,
+            gossip_socket,
+            self._node_key,
+            clock,
+            policy_digest=lambda: self.sections.digest,
+            on_policy=lambda sender: self.spread.hear_digest(sender),
+            on_notice=lambda *notice: self.spread.hear_notice(*notice),
+            on_view=self._compare_views,
+        )
+        self.peers = PeerPool(ROLE_NODE, name, self._node_key, clock, self.tasks)
+        self.spread = Spread(
+            self.sections,
+            self.platform.table,
+            self._ask,
+            self.gossip.push,
+            self._count_zone,
+            clock,
+            self.tasks,
+        )
+        self.targets = LocalTargets(clock, self._tell_targets)
+        self.execution = Execution(
+            self.targets,
+            self.ledger,
+            self.archive,
+            lambda: self._rulebook,
+            self._node_key,
+            clock,
+            self.tasks,
+        )
+        self.router = self._make_router(session)
+        self.keyed = self._make_keyed()
+        self.front = Front(
+            self.router,
+            self.keyed,
+            self.execution,
+            lambda: self._rulebook,
+            self._node_key,
+            self._caller_key,
+            clock,
+            self.metrics,
+            here.uploads,
+            lambda: self.ready,
+        )
+        self.front_listener = HttpListener(
+            self.front,
+            (here.host, here.front_port),
+            here.front_loops,
+            here.front_threads,
+            here.front_connections,
+        )
+        self.control_listener = HttpListener(
+            Control(self, settings.keys),
+            (here.host, here.control_port),
+            _CONTROL_LOOPS,
+            _CONTROL_THREADS,
+            _CONTROL_CONNECTIONS,
+        )
+
+    @property
+    def rulebook(self) -> Rulebook:
+        """The rules in force at this node."""
+        return self._rulebook
+
+    def start(self) -> None:
+        """Start listening and join the other nodes."""
+        self.streams.start()
+        self.gossip.start(self.tasks)
+        self.control_listener.start(self.tasks)
+        self.front_listener.start(self.tasks)
+        self.tasks.submit(self.front.watch.run)
+        self._repeat(_SWEEP, self.execution.sweep)
+        self._repeat(_BEAT, self._beat)
+        self._repeat(_TUNE, lambda: self.targets.tune(self._rulebook))
+        self._repeat(_POLL, self.spread.poll)
+        self._repeat(_SAVE, self.archive.save)
+        self._repeat(_SAVE_ACTIONS, lambda: self.actions.save(self.platform.objects))
+        self.tasks.submit(self._join)
+
+    def stop(self, grace: timedelta | None = None) -> bool:
+        """Leave: take no new work, let what is under way finish, then end.
+
+        Returns whether every call under way finished within the grace, and its
+        outcome was recorded.
+        """
+        grace = grace or timedelta(seconds=self.settings.node.shutdown_s)
+        self.targets.leave()
+        self.gossip.push_view()
+        self._stopped.wait(min(_LEAVE_SETTLE, grace).total_seconds())
+        idle = self.execution.wait_idle(grace)
+        closed = self.archive.close()
+        self.view.leave()
+        self.gossip.push_view()
+        self.kill()
+        return idle and closed
+
+    def kill(self) -> None:
+        """End at once, as a crash would, without waiting for anything."""
+        self.ready = False
+        if self._stopped.is_set():
+            return
+        self._stopped.set()
+        self.front.watch.stop()
+        self.front_listener.stop()
+        self.control_listener.stop()
+        self.gossip.stop()
+        self.streams.close()
+        self.peers.close()
+        self.tasks.shutdown(wait=False, cancel_futures=True)
+
+    def platform_silence(self) -> float | None:
+        """Return for how many seconds the platform has not been read, if ever."""
+        seen = self.spread.platform_seen_at
+        if seen is None:
+            return None
+        return round((self.clock.monotonic() - seen).total_seconds(), 1)
+
+    def refresh_gauges(self) -> None:
+        """Bring the gauges of the metrics up to date."""
+        gauges = self.metrics.gauges
+        for (zone, standing), count in count_standings(self.view.all()).items():
+            gauges["members"].labels(zone, standing).set(count)
+        gauges["peer_streams"].set(len(self.peers))
+        gauges["answers_dropped"].set(self.peers.dropped)
+        gauges["gossip_bytes"].set(self.gossip.sent_bytes)
+        for section in self.sections.all():
+            gauges["section_version"].labels(section.team).set(section.version)
+        for target in self.targets.all():
+            state = target.gate.state()
+            service = target.record.service
+            gauges["target_in_flight"].labels(service).set(state.in_flight)
+            gauges["target_waiting"].labels(service).set(state.waiting)
+            gauges["target_limit"].labels(service).set(state.limit)
+            gauges["target_level"].labels(service).set(state.level)
+
+    def _describe(self, name: str, session: str, gossip_port: int) -> Member:
+        here = self.settings.node
+        started = self.clock.now().timestamp()
+        return Member(
+            name=name,
+            session=session,
+            incarnation=int(started * 1000),
+            zone=here.availability_zone,
+            region=here.region,
+            host=here.host,
+            stream_port=self.streams.address[1],
+            gossip_port=gossip_port,
+        )
+
+    def _make_router(self, session: str) -> Router:
+        directory = Directory(
+            self.view.all, lambda: self.view.version, lambda: self._rulebook
+        )
+        chooser = Chooser(
+            directory,
+            self.settings.node.availability_zone,
+            self.clock,
+            on_eject=self._note_ejection,
+        )
+        return Router(
+            directory=directory,
+            chooser=chooser,
+            link=Link(self.peers, self.clock),
+            clock=self.clock,
+            session=session,
+            serve_local=self._serve_local,
+            key=self._node_key,
+        )
+
+    def _make_keyed(self) -> KeyedRouter:
+        epochs = EpochBook(self.router.link, self.clock)
+
+        def epoch_of(member: Member) -> int | None:
+            own = member.session == self.ledger.session
+            return self.ledger.epoch if own else epochs.read(member)
+
+        return KeyedRouter(
+            router=self.router,
+            clock=self.clock,
+            epoch_of=epoch_of,
+            find_outcome=self.archive.find,
+            table=self.platform.table,
+        )
+
+    def _repeat(self, period: timedelta, step: Callable[[], object]) -> None:
+        def run() -> None:
+            while not self._stopped.wait(period.total_seconds()):
+                step()
+
+        self.tasks.submit(run)
+
+    def _beat(self) -> None:
+        self.peers.beat()
+        self.streams.beat()
+
+    def _join(self) -> None:
+        began = self.clock.monotonic()
+        while not self._learn_sections():
+            if self.clock.monotonic() - began >= _START_ALONE:
+                self.actions.note("start", self.view.own.name, "without sections")
+                break
+            if self._stopped.wait(_JOIN_RETRY.total_seconds()):
+                return
+        self.ready = True
+        self._keep_joined()
+
+    def _learn_sections(self) -> bool:
+        """Learn what is in force, from the platform or else from a peer."""
+        alone = self._contact_others()
+        return self.spread.load_all() or not alone
+
+    def _keep_joined(self) -> None:
+        renewed: timedelta | None = None
+        while not self._stopped.is_set():
+            now = self.clock.monotonic()
+            if renewed is None or now - renewed >= ROW_RENEWAL:
+                if write_row(self.platform.table, self.view.own).is_ok():
+                    renewed = now
+            if len(self.view.all()) == 1:
+                self._contact_others()
+            wait = _JOIN_RETRY if renewed is None else _REJOIN
+            self._stopped.wait(wait.total_seconds())
+
+    def _contact_others(self) -> bool:
+        """Learn of other nodes from rows and seeds; return True when alone."""
+        rows = read_rows(self.platform.table, "")
+        if rows.is_ok():
+            self.view.merge_all(rows.ok)
+        addresses = [split_address(each) for each in self.settings.node.seeds]
+        addresses += [(m.host, m.stream_port) for m in self.view.others()]
+        own = self.streams.address
+        for address in addresses:
+            if address != own and self._sync_with(address):
+                return False
+        return True
+
+    def _sync_with(self, address: tuple[str, int]) -> bool:
+        client = self.peers.connect(address)
+        if client is None:
+            return False
+        payload = msgpack.packb([pack_member(self.view.own)])
+        reply = client.ask("membership.sync", payload, _ASK_TIMEOUT)
+        if reply is None:
+            return False
+        members = _unpack_members(reply)
+        self.view.merge_all(members)
+        self._synced_at = self.clock.monotonic()
+        for member in members:
+            if (member.host, member.stream_port) == address:
+                return self.spread.compare(member)
+        return True
+
+    def _compare_views(self, sender: Member) -> None:
+        now = self.clock.monotonic()
+        if self._synced_at is not None and now - self._synced_at < _SYNC_EVERY:
+            return
+        self._synced_at = now
+        self.tasks.submit(self._sync_with, (sender.host, sender.stream_port))
+
+    def _tell_targets(self, records: tuple[TargetRecord, ...]) -> None:
+        self.targets.tune(self._rulebook)
+        self.view.update_own(records)
+        self.gossip.push_view()
+
+    def _apply_section(self, section: Section) -> None:
+        self._rulebook = build_rulebook(self.sections.all())
+        self.targets.tune(self._rulebook)
+        manual = [
+            book.name
+            for book in self._rulebook.services()
+            if book.team == section.team and not book.manual.automatic
+        ]
+        if manual:
+            self.actions.note("pin", section.team, ", ".join(manual))
+
+    def _note_ejection(self, endpoint: Endpoint) -> None:
+        detail = f"{endpoint.service} at {endpoint.target.address}"
+        self.actions.note("eject", endpoint.member.name, detail)
+
+    def _count_zone(self) -> int:
+        zone = self.settings.node.availability_zone
+        return sum(
+            member.zone == zone and member.standing is Standing.ALIVE
+            for member in self.view.all()
+        )
+
+    def _find_key(self, role: str, name: str) -> bytes | None:
+        if role == ROLE_NODE:
+            return self._node_key
+        if role == ROLE_CALLER:
+            return derive_credential(self._caller_key, name)
+        return None
+
+    def _ask(
+        self, member: Member, topic: str, payload: bytes, timeout: timedelta
+    ) -> bytes | None:
+        client = self.peers.reach(member)
+        return None if client is None else client.ask(topic, payload, timeout)
+
+    def _answer_ask(self, peer: Peer, topic: str, payload: bytes) -> bytes | None:
+        if topic == "epoch":
+            return self.ledger.epoch.to_bytes(8, "big")
+        if topic == "membership.sync":
+            if peer.role == ROLE_NODE:
+                self.view.merge_all(_unpack_members(payload))
+            return msgpack.packb([pack_member(each) for each in self.view.all()])
+        if topic == "outcome":
+            return self._answer_outcome(peer, payload)
+        return self.spread.answer(topic, payload)
+
+    def _answer_outcome(self, peer: Peer, payload: bytes) -> bytes | None:
+        ticket = parse_ticket(payload.decode(errors="replace"))
+        if ticket is None:
+            return None
+        return pack_answer(self.archive.find(peer.name, ticket))
+
+    def _serve_local(self, request: Request, granted: int, scope: CallScope) -> Answer:
+        box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        child = CallScope(_grant(request.context, granted), request.deadline)
+        forget = scope.on_cancel(child.cancel)
+        self.execution.serve(request, child, box.put, inline=True)
+        answer = box.get()
+        forget()
+        return answer
+
+    def _serve_stream(self, peer: Peer, call: IncomingCall) -> None:
+        frame = call.frame
+        context = open_token(frame.token, self._node_key)
+        if context is None and peer.role == ROLE_NODE:
+            call.reply(refuse_call(Refusal.UNAUTHENTICATED))
+            return
+        if frame.session and frame.session != self.ledger.session and not frame.key:
+            call.reply(refuse_call(Refusal.LEAVING))
+            return
+        request = self._build_request(peer, call, context)
+        scope = CallScope(request.context, request.deadline)
+        call.on_cancel(scope.cancel)
+        self.execution.serve(request, scope, call.reply)
+
+    def _build_request(
+        self, peer: Peer, call: IncomingCall, context: CallContext | None
+    ) -> Request:
+        frame: RequestFrame = call.frame
+        caller = context.caller if context else peer.name
+        book = self._rulebook.find(frame.service)
+        decision = book.decide(caller, frame.method, frame.path)
+        if context is None:
+            root = frame.request_id or secrets.token_hex(_SESSION_BYTES)
+            most = book.extra_attempts
+            context = CallContext(root, caller, decision.importance, 0, most)
+        granted = min(frame.allowance, context.allowance)
+        return Request(
+            service=frame.service,
+            method=frame.method,
+            path=frame.path,
+            headers=frame.headers,
+            body=call.body,
+            context=_grant(context, granted),
+            deadline=self.clock.monotonic() + frame.remaining_us * _MICROSECOND,
+            request_id=frame.request_id,
+            key=frame.key,
+            repeatable=decision.repeatable,
+        )
+
+
+def _open_platform(settings: Settings, clock: Clock) -> Platform:
+    plugins = load_plugins()
+    found = plugins.hook.cyclamenvane_open_platform(
+        settings=settings.platform, clock=clock
+    )
+    if found is None:
+        raise ValueError(f"no plug-in opens a platform {settings.platform.kind!r}")
+    return found
+
+
+def _grant(context: CallContext, allowance: int) -> CallContext:
+    return CallContext(
+        context.root,
+        context.caller,
+        context.importance,
+        context.depth,
+        allowance,
+        context.dispatch,
+    )
+
+
+def _unpack_members(data: bytes) -> tuple[Member, ...]:
+    try:
+        return tuple(unpack_member(v) for v in msgpack.unpackb(data, use_list=False))
+    except (ValueError, TypeError, MalformedMember, msgpack.UnpackException):
+        return ()
--- /dev/null
+++ b/src/cyclamenvane/node/status.py
@@ -0,0 +1,138 @@
+"""What a node tells operators: plain values, ready to be written as JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from ..membership import Member, Standing
+
+if TYPE_CHECKING:
+    from ..audit import AuditEntry
+    from ..policy import Section
+    from .target import LocalTarget
+
+__all__ = [
+    "TargetStatus",
+    "ZoneStatus",
+    "describe_entry",
+    "describe_section",
+    "describe_target",
+    "summarize_zones",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneStatus:
+    """How far the sections in force at the asked node are in force in a zone.
+
+    `nodes` counts the members of the zone, `in_force` those that hold the same
+    versions, `silent` those that gave no answer. `silent_s` is the longest that
+    a member of the zone has been silent, in seconds.
+    """
+
+    zone: str
+    nodes: int
+    in_force: int
+    silent: int
+    silent_s: float
+
+    @property
+    def complete(self) -> bool:
+        """Whether every node of the zone holds the same versions."""
+        return self.in_force == self.nodes
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """One target of this VM, with its gate."""
+
+    service: str
+    address: str
+    slots: int
+    cold: bool
+    leaving: bool
+    in_flight: int
+    waiting: int
+    limit: int
+    level: int
+    pinned: bool
+
+
+def describe_target(target: LocalTarget) -> TargetStatus:
+    """Return the status of a local target."""
+    record, gate = target.record, target.gate.state()
+    return TargetStatus(
+        record.service,
+        record.address,
+        record.slots,
+        record.cold,
+        record.leaving,
+        gate.in_flight,
+        gate.waiting,
+        gate.limit,
+        gate.level,
+        gate.pinned,
+    )
+
+
+def describe_section(section: Section) -> dict[str, Any]:
+    """Return a section as plain values."""
+    return {
+        "team": section.team,
+        "version": section.version,
+        "operator": section.operator,
+        "accepted_at": _format_time(section.accepted_at),
+        "edit": section.edit,
+        "text": section.text,
+    }
+
+
+def describe_entry(entry: AuditEntry) -> dict[str, Any]:
+    """Return a line of the audit trail as plain values."""
+    return {**asdict(entry), "when": _format_time(entry.when)}
+
+
+def summarize_zones(
+    members: Iterable[Member],
+    own: Member,
+    digest: int,
+    told: dict[str, int],
+    silent_for: dict[str, timedelta],
+) -> list[ZoneStatus]:
+    """Return the status of each zone from the digests that members told."""
+    zones: dict[str, list[Member]] = {}
+    for member in members:
+        zones.setdefault(member.zone, []).append(member)
+    found = []
+    for zone, group in sorted(zones.items()):
+        answers = [digest if m.name == own.name else told.get(m.name) for m in group]
+        longest = max(
+            (silent_for.get(m.name, timedelta()) for m in group), default=timedelta()
+        )
+        found.append(
+            ZoneStatus(
+                zone,
+                len(group),
+                answers.count(digest),
+                answers.count(None),
+                round(longest.total_seconds(), 1),
+            )
+        )
+    return found
+
+
+def count_standings(members: Iterable[Member]) -> dict[tuple[str, str], int]:
+    """Return the number of members by zone and standing."""
+    counts: dict[tuple[str, str], int] = {}
+    for member in members:
+        for standing in (Standing.ALIVE, Standing.SUSPECT):
+            key = (member.zone, standing.name.lower())
+            counts[key] = counts.get(key, 0) + (member.standing is standing)
+    return counts
+
+
+def _format_time(when: datetime) -> str:
+    return when.isoformat(timespec="milliseconds")
--- /dev/null
+++ b/src/cyclamenvane/platform/http.py
@@ -0,0 +1,131 @@
+"""A platform reached over HTTP, one msgpack document each way.
+
+`POST /table/get`, `/table/scan`, `/table/commit`, `/objects/get`,
+`/objects/put` and `/objects/names` take the arguments as an array. The status
+is 200 with the result and 409 for a conflict. A refused connection surely had no
+effect. Anything else, a broken connection or a timeout leaves the effect of a
+write unknown. This module is all that knows the protocol.
+"""
+
+from __future__ import annotations
+
+import http.client
+import threading
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+from expression import Error, Ok, Result
+
+from ..kernel import hookimpl
+from ..settings import split_address
+from .interface import Failure, PlatformError, Row, Write
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..settings import PlatformSettings
+
+__all__ = ["HttpPlatform"]
+
+_FAILURES = {409: Failure.CONFLICT}
+_CONCURRENT_CALLS = 16
+
+
+class _Link:
+    """Bounded concurrent requests, each on a connection of its own thread."""
+
+    def __init__(self, address: tuple[str, int], timeout: timedelta) -> None:
+        self._address = address
+        self._timeout = timeout.total_seconds()
+        self._slots = threading.BoundedSemaphore(_CONCURRENT_CALLS)
+
+    def post(self, path: str, arguments: Any) -> Result[Any, PlatformError]:
+        """Send one request; a slow platform never holds more than the slots."""
+        if not self._slots.acquire(timeout=self._timeout):
+            return Error(PlatformError(Failure.UNAVAILABLE, "too many calls wait"))
+        try:
+            return self._exchange(path, msgpack.packb(arguments))
+        finally:
+            self._slots.release()
+
+    def _exchange(self, path: str, body: bytes) -> Result[Any, PlatformError]:
+        connection = http.client.HTTPConnection(*self._address, timeout=self._timeout)
+        try:
+            connection.connect()
+        except OSError as error:
+            return Error(PlatformError(Failure.UNAVAILABLE, str(error)))
+        try:
+            connection.request("POST", path, body)
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            return Error(PlatformError(Failure.UNKNOWN, str(error)))
+        finally:
+            connection.close()
+        if response.status == 200:
+            return Ok(msgpack.unpackb(data))
+        failure = _FAILURES.get(response.status, Failure.UNKNOWN)
+        return Error(PlatformError(failure, data[:200].decode(errors="replace")))
+
+
+class _HttpTable:
+    def __init__(self, link: _Link) -> None:
+        self._link = link
+
+    def get(self, key: str) -> Result[Row | None, PlatformError]:
+        """Return a row, or None when there is none."""
+        found = self._link.post("/table/get", [key])
+        return found.map(lambda row: Row(*row) if row else None)
+
+    def scan(self, prefix: str, limit: int) -> Result[tuple[Row, ...], PlatformError]:
+        """Return the first rows, by key, whose key starts with `prefix`."""
+        found = self._link.post("/table/scan", [prefix, limit])
+        return found.map(lambda rows: tuple(Row(*row) for row in rows))
+
+    def commit(self, writes: Sequence[Write]) -> Result[None, PlatformError]:
+        """Make all the writes, or none when any expected version differs."""
+        return self._link.post("/table/commit", [_pack_write(w) for w in writes])
+
+
+class _HttpObjects:
+    def __init__(self, link: _Link) -> None:
+        self._link = link
+
+    def get(self, name: str) -> Result[bytes | None, PlatformError]:
+        """Return an object, or None when there is none."""
+        return self._link.post("/objects/get", [name])
+
+    def put(self, name: str, data: bytes) -> Result[None, PlatformError]:
+        """Store an object whole, replacing one of the same name."""
+        return self._link.post("/objects/put", [name, data])
+
+    def names(self, prefix: str) -> Result[tuple[str, ...], PlatformError]:
+        """Return the names that start with `prefix`, sorted."""
+        return self._link.post("/objects/names", [prefix]).map(tuple)
+
+
+class HttpPlatform:
+    """Table and object store of a platform that speaks HTTP."""
+
+    def __init__(self, address: tuple[str, int], timeout: timedelta) -> None:
+        link = _Link(address, timeout)
+        self.table = _HttpTable(link)
+        self.objects = _HttpObjects(link)
+
+
+def _pack_write(write: Write) -> tuple[str, bytes | None, int, int | None]:
+    lifetime = write.lifetime
+    seconds = None if lifetime is None else int(lifetime.total_seconds())
+    return write.key, write.value, write.expected, seconds
+
+
+@hookimpl
+def cyclamenvane_open_platform(
+    settings: PlatformSettings, clock: Clock
+) -> HttpPlatform | None:
+    """Open a platform over HTTP for the kind `http`."""
+    if settings.kind != "http":
+        return None
+    timeout = timedelta(milliseconds=settings.timeout_ms)
+    return HttpPlatform(split_address(settings.address), timeout)
--- /dev/null
+++ b/src/cyclamenvane/policy/__init__.py
@@ -0,0 +1,47 @@
+"""The policy document: its sections, how they are accepted and spread."""
+
+from __future__ import annotations
+
+from .acceptance import (
+    Edit,
+    Rejection,
+    accept_edit,
+    list_history,
+    read_head,
+    read_section,
+    read_sections,
+)
+from .document import (
+    Document,
+    DocumentError,
+    ManualRule,
+    parse_document,
+    split_sections,
+)
+from .rulebook import Decision, Rulebook, ServiceBook, build_rulebook
+from .section import Section, SectionTable, pack_section, unpack_section
+from .spread import Spread
+
+__all__ = [
+    "Decision",
+    "Document",
+    "DocumentError",
+    "Edit",
+    "ManualRule",
+    "Rejection",
+    "Rulebook",
+    "Section",
+    "SectionTable",
+    "ServiceBook",
+    "Spread",
+    "accept_edit",
+    "build_rulebook",
+    "list_history",
+    "pack_section",
+    "parse_document",
+    "read_head",
+    "read_section",
+    "read_sections",
+    "split_sections",
+    "unpack_section",
+]
--- /dev/null
+++ b/src/cyclamenvane/policy/document.py
@@ -0,0 +1,243 @@
+"""The policy document: its model and how its text is read and checked.
+
+The document is one TOML text with a section `[teams.NAME]` for each owning
+team. A section names the services that the team owns and says, for each, which
+callers matter most, which requests may not be repeated, how long and how large
+a call may be, which targets are leaving and what an operator has pinned:
+
+    [teams.dispatch]
+    version = 4
+    objective = "recovery"
+
+    [teams.dispatch.services.booking]
+    non_idempotent = ["POST /bookings"]
+    deadline_ms = 2000
+
+    [[teams.dispatch.services.booking.importance]]
+    callers = ["crane-crews"]
+    requests = ["GET /positions/*"]
+    level = "critical"
+
+`version` is the version of the section that the text was edited from. A section
+travels and is kept as text, so what operators read is what the nodes read.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import tomlkit
+from expression import Error, Ok, Result
+
+from ..calls import Importance
+from ..settings import Address, Between, OneOf, Pattern, Problem, build_checked
+
+__all__ = [
+    "Document",
+    "DocumentError",
+    "ImportanceRule",
+    "ManualRule",
+    "ServiceRules",
+    "TeamSection",
+    "find_line",
+    "parse_document",
+    "split_sections",
+]
+
+MAX_SECTION_BYTES = 64 * 1024
+
+_REQUEST = re.compile(r"(\*|[A-Z]+) /\S*")
+_TEAM_HEADER = re.compile(r"\s*\[+\s*teams\.\"?([a-z0-9_-]+)\"?\s*[\].]")
+_NAME = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}")
+_RequestPattern = Annotated[
+    str, Pattern(_REQUEST.fullmatch, "a method and path, as 'GET /positions/*'")
+]
+_CallerName = Annotated[
+    str,
+    Pattern(
+        lambda text: text == "*" or _NAME.fullmatch(text),
+        "a caller's name, as 'crane-crews', or '*'",
+    ),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ImportanceRule:
+    """Gives calls of these callers and requests an importance."""
+
+    level: Importance
+    callers: tuple[_CallerName, ...] = ("*",)
+    requests: tuple[_RequestPattern, ...] = ("* /*",)
+
+
+@dataclass(frozen=True, slots=True)
+class ManualRule:
+    """What an operator has pinned, in place of the automatic adjustment.
+
+    `limit` fixes the calls in flight at each target. `refuse_below` refuses
+    every call that is less important than it. With `automatic` false neither
+    limit nor admission level adjust themselves.
+    """
+
+    automatic: bool = True
+    limit: Annotated[int, Between(1, 100_000)] | None = None
+    refuse_below: Importance | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRules:
+    """The rules of one service."""
+
+    importance: tuple[ImportanceRule, ...] = ()
+    non_idempotent: tuple[_RequestPattern, ...] = ()
+    idempotent: tuple[_RequestPattern, ...] = ()
+    leaving: tuple[Address, ...] = ()
+    deadline_ms: Annotated[int, Between(10, 600_000)] = 5000
+    body_limit_kb: Annotated[int, Between(0, 1_048_576)] = 1024
+    extra_attempts: Annotated[int, Between(0, 16)] = 3
+    resends: Annotated[int, Between(0, 100)] = 4
+    manual: ManualRule = field(default_factory=ManualRule)
+
+
+@dataclass(frozen=True, slots=True)
+class TeamSection:
+    """The section of one team."""
+
+    version: Annotated[int, Between(0, 2**53)] = 0
+    owner: str = ""
+    objective: Annotated[str, OneOf(("recovery", "goodput"))] = "goodput"
+    services: dict[str, ServiceRules] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A whole document, its sections by team."""
+
+    teams: dict[str, TeamSection] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentError:
+    """Every problem found in a document, a line of text each."""
+
+    lines: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(self.lines)
+
+
+def parse_document(
+    text: str, name: str = "document"
+) -> Result[Document, DocumentError]:
+    """Return the document in a TOML text, or every problem with its line."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error(DocumentError((f"{name}: {error}; mend the TOML there",)))
+    checked = build_checked(data, Document)
+    problems = list(checked.error) if checked.is_error() else []
+    if checked.is_ok():
+        problems += _check_names(checked.ok)
+        problems += _check_owners(checked.ok)
+    if problems:
+        lines = tuple(_explain(problem, text, name) for problem in problems)
+        return Error(DocumentError(lines))
+    return Ok(checked.ok)
+
+
+def split_sections(text: str) -> dict[str, str]:
+    """Return the text of each team's section of a document that was checked.
+
+    Comments stay with the header below them. Text that cannot be cut by its
+    headers (a section inside an inline table, say) is written out anew.
+    """
+    teams = tomllib.loads(text).get("teams", {})
+    parts = _cut_by_headers(text)
+    for team, body in teams.items():
+        plain = {"teams": {team: body}}
+        if not _holds(parts.get(team, ""), plain):
+            parts[team] = tomlkit.dumps(plain)
+    return {team: parts[team].strip() + "\n" for team in teams}
+
+
+def _cut_by_headers(text: str) -> dict[str, str]:
+    parts: dict[str, list[str]] = {}
+    waiting: list[str] = []
+    team = ""
+    for line in text.splitlines():
+        found = _TEAM_HEADER.match(line)
+        if found:
+            team = found.group(1)
+        if line.startswith("#") and not found:
+            waiting.append(line)
+            continue
+        parts.setdefault(team, []).extend([*waiting, line])
+        waiting.clear()
+    parts.setdefault(team, []).extend(waiting)
+    return {name: "\n".join(lines) for name, lines in parts.items()}
+
+
+def _holds(text: str, wanted: dict[str, Any]) -> bool:
+    try:
+        return tomllib.loads(text) == wanted
+    except tomllib.TOMLDecodeError:
+        return False
+
+
+def find_line(text: str, key: str) -> int | None:
+    """Return the line of a dotted key in a TOML text, or of its nearest parent."""
+    steps = [step for step in key.split(".") if step]
+    best: int | None = None
+    header = re.compile(r"\s*\[+\s*([^\]]+?)\s*\]+")
+    table = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        found = header.match(line)
+        if found:
+            table = found.group(1).replace('"', "")
+            if steps[: table.count(".") + 1] == table.split("."):
+                best = number
+        elif _sets_key(line, table, steps):
+            return number
+    return best
+
+
+def _sets_key(line: str, table: str, steps: list[str]) -> bool:
+    name = line.partition("=")[0].strip().strip('"')
+    plain = [step for step in steps if not step.isdigit()]
+    return bool(name) and table.split(".") + [name] == plain
+
+
+def _explain(problem: Problem, text: str, name: str) -> str:
+    line = find_line(text, problem.key)
+    steps = problem.key.split(".")
+    section = f" section {steps[1]!r}:" if len(steps) > 1 else ""
+    place = f"{name}:{line}" if line else name
+    return f"{place}:{section} {problem}"
+
+
+def _check_names(document: Document) -> list[Problem]:
+    problems = []
+    for team, section in document.teams.items():
+        if not _NAME.fullmatch(team):
+            text = f"got {team!r}; allowed are lower-case letters, digits, '_', '-'"
+            problems.append(Problem(f"teams.{team}", text))
+        for service in section.services:
+            if not _NAME.fullmatch(service):
+                text = f"service {service!r} is no plain name; rename it"
+                problems.append(Problem(f"teams.{team}.services.{service}", text))
+    return problems
+
+
+def _check_owners(document: Document) -> list[Problem]:
+    problems = []
+    owners: dict[str, str] = {}
+    for team, section in document.teams.items():
+        for service in section.services:
+            owner = owners.setdefault(service, team)
+            if owner != team:
+                text = f"service is also in section {owner!r}; keep it in one of them"
+                problems.append(Problem(f"teams.{team}.services.{service}", text))
+    return problems
--- /dev/null
+++ b/src/cyclamenvane/policy/rulebook.py
@@ -0,0 +1,140 @@
+"""The rules in force, ready to decide calls.
+
+A `Rulebook` is built from the sections in force and never changes; a new one
+replaces it when a section is accepted.
+"""
+
+from __future__ import annotations
+
+import fnmatch
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ..calls import Importance
+from .document import ImportanceRule, ManualRule, ServiceRules, parse_document
+
+if TYPE_CHECKING:
+    from .section import Section
+
+__all__ = ["Decision", "Rulebook", "ServiceBook", "build_rulebook"]
+
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+_BYTES_PER_KB = 1024
+_DEFAULT_IMPORTANCE = Importance.NORMAL
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What the document says about one request.
+
+    `keyed` requests need an idempotency key; `repeatable` ones may be sent to
+    a target again. A request can be neither: it is then sent at most once, and
+    its caller gets no recorded answer.
+    """
+
+    importance: Importance
+    repeatable: bool
+    keyed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBook:
+    """The rules of one service, compiled."""
+
+    name: str
+    team: str
+    objective: str
+    deadline: timedelta
+    body_limit_bytes: int
+    extra_attempts: int
+    resends: int
+    leaving: frozenset[str]
+    manual: ManualRule
+    _importance: tuple[tuple[frozenset[str], re.Pattern, Importance], ...]
+    _non_idempotent: re.Pattern | None
+    _idempotent: re.Pattern | None
+
+    def decide(self, caller: str, method: str, path: str) -> Decision:
+        """Return what the document says about a request of a caller."""
+        request = f"{method} {path.partition('?')[0]}"
+        keyed = _matches(self._non_idempotent, request)
+        safe = method in _IDEMPOTENT_METHODS or _matches(self._idempotent, request)
+        return Decision(self._rate(caller, request), safe and not keyed, keyed)
+
+    def _rate(self, caller: str, request: str) -> Importance:
+        for callers, pattern, level in self._importance:
+            if (caller in callers or "*" in callers) and pattern.fullmatch(request):
+                return level
+        return _DEFAULT_IMPORTANCE
+
+
+class Rulebook:
+    """The rules of every service, found by its name."""
+
+    def __init__(self, services: Iterable[ServiceBook] = ()) -> None:
+        self._services = {each.name: each for each in services}
+
+    def find(self, service: str) -> ServiceBook:
+        """Return the rules of a service; the defaults when no section has it."""
+        book = self._services.get(service)
+        return book or compile_service(service, "", "goodput", ServiceRules())
+
+    def services(self) -> tuple[ServiceBook, ...]:
+        """Return the rules of all services in the document."""
+        return tuple(self._services.values())
+
+
+def build_rulebook(sections: Iterable[Section]) -> Rulebook:
+    """Return the rules of the sections; one that does not parse is left out."""
+    services: dict[str, ServiceBook] = {}
+    for section in sections:
+        parsed = parse_document(section.text)
+        if parsed.is_error():
+            continue
+        for team, body in parsed.ok.teams.items():
+            for name, rules in body.services.items():
+                book = compile_service(name, team, body.objective, rules)
+                services.setdefault(name, book)
+    return Rulebook(services.values())
+
+
+def compile_service(
+    name: str, team: str, objective: str, rules: ServiceRules
+) -> ServiceBook:
+    """Return the rules of a service in the form that decides calls."""
+    return ServiceBook(
+        name=name,
+        team=team,
+        objective=objective,
+        deadline=timedelta(milliseconds=rules.deadline_ms),
+        body_limit_bytes=rules.body_limit_kb * _BYTES_PER_KB,
+        extra_attempts=rules.extra_attempts,
+        resends=rules.resends,
+        leaving=frozenset(rules.leaving),
+        manual=rules.manual,
+        _importance=tuple(_compile_importance(rule) for rule in rules.importance),
+        _non_idempotent=_compile_requests(rules.non_idempotent),
+        _idempotent=_compile_requests(rules.idempotent),
+    )
+
+
+def _compile_importance(
+    rule: ImportanceRule,
+) -> tuple[frozenset[str], re.Pattern, Importance]:
+    pattern = _compile_requests(rule.requests)
+    assert pattern is not None, "a rule always has requests"
+    return frozenset(rule.callers), pattern, rule.level
+
+
+def _compile_requests(requests: tuple[str, ...]) -> re.Pattern | None:
+    if not requests:
+        return None
+    parts = (fnmatch.translate(request) for request in requests)
+    return re.compile("|".join(parts))
+
+
+def _matches(pattern: re.Pattern | None, request: str) -> bool:
+    return pattern is not None and pattern.fullmatch(request) is not None
--- /dev/null
+++ b/src/cyclamenvane/routing/directory.py
@@ -0,0 +1,84 @@
+"""Which targets a service has, as one process knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..membership import Member, Standing, TargetRecord
+
+if TYPE_CHECKING:
+    from ..policy import Rulebook
+
+__all__ = ["Directory", "Endpoint"]
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A target and the node that stands before it."""
+
+    service: str
+    member: Member
+    target: TargetRecord
+
+    @property
+    def name(self) -> tuple[str, str]:
+        """The names of the node and of the target's address."""
+        return self.member.name, self.target.address
+
+
+class Directory:
+    """Finds the targets that may get new work.
+
+    `members` gives the members known, `version` a number that changes with
+    them, `rulebook` the rules in force. The targets are sorted out anew only
+    when one of these has changed.
+    """
+
+    def __init__(
+        self,
+        members: Callable[[], Iterable[Member]],
+        version: Callable[[], int],
+        rulebook: Callable[[], Rulebook],
+    ) -> None:
+        self._members = members
+        self._version = version
+        self._rulebook = rulebook
+        self._built: tuple[int, Rulebook | None] = (-1, None)
+        self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
+        self._by_session: dict[str, Member] = {}
+
+    def find(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the targets of a service that take new work."""
+        self._refresh()
+        return self._endpoints.get(service, ())
+
+    def find_session(self, session: str) -> Member | None:
+        """Return the member whose process runs under a session."""
+        self._refresh()
+        return self._by_session.get(session)
+
+    def _refresh(self) -> None:
+        current = (self._version(), self._rulebook())
+        if current == self._built:
+            return
+        found: dict[str, list[Endpoint]] = {}
+        members = list(self._members())
+        for endpoint in _list_endpoints(members, current[1]):
+            found.setdefault(endpoint.service, []).append(endpoint)
+        self._endpoints = {name: tuple(each) for name, each in found.items()}
+        self._by_session = {each.session: each for each in members}
+        self._built = current
+
+
+def _list_endpoints(members: list[Member], rules: Rulebook) -> Iterable[Endpoint]:
+    for member in members:
+        if member.standing is not Standing.ALIVE:
+            continue
+        for target in member.targets:
+            leaving = (
+                target.leaving or target.address in rules.find(target.service).leaving
+            )
+            if not leaving:
+                yield Endpoint(target.service, member, target)
--- /dev/null
+++ b/src/cyclamenvane/routing/link.py
@@ -0,0 +1,138 @@
+"""Sends one request to one node over its stream and waits for the answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ..calls import (
+    Answer,
+    CallScope,
+    Outcome,
+    Pipe,
+    Refusal,
+    Report,
+    Request,
+    refuse_call,
+    report_unknown,
+)
+from ..wire import ReceivedAnswer, RequestFrame, StreamClient
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..membership import Member
+    from .peer import PeerPool
+
+__all__ = ["Link", "pack_request"]
+
+_MICROSECOND = timedelta(microseconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """The way to other nodes: open streams, and the clock for deadlines."""
+
+    peers: PeerPool
+    clock: Clock
+
+    def send(
+        self,
+        member: Member,
+        request: Request,
+        token: str,
+        granted: int,
+        scope: CallScope,
+    ) -> Answer:
+        """Return a member's answer to a request.
+
+        When the request was not handed to the member at all the answer is the
+        refusal `UNREACHED`; once the request is on its way and no answer
+        comes, the outcome is `UNKNOWN`.
+        """
+        client = self.peers.reach(member)
+        if client is None:
+            return refuse_call(Refusal.UNREACHED, member.name)
+        return self._exchange(client, member, request, token, granted, scope)
+
+    def _exchange(
+        self,
+        client: StreamClient,
+        member: Member,
+        request: Request,
+        token: str,
+        granted: int,
+        scope: CallScope,
+    ) -> Answer:
+        remaining = request.deadline - self.clock.monotonic()
+        if remaining <= timedelta():
+            return refuse_call(Refusal.UNREACHED, "no time was left")
+        body = request.body if isinstance(request.body, Pipe) else None
+        pending = client.call(
+            lambda number: pack_request(
+                number, request, token, granted, remaining, member.session
+            ),
+            body,
+        )
+        if pending is None:
+            return refuse_call(Refusal.UNREACHED, member.name)
+        forget = scope.on_cancel(pending.cancel)
+        received = pending.wait(remaining)
+        forget()
+        if received is not None:
+            return _unpack_answer(received)
+        return self._explain_silence(client, pending.number, request, scope)
+
+    def _explain_silence(
+        self, client: StreamClient, number: int, request: Request, scope: CallScope
+    ) -> Answer:
+        if scope.cancelled:
+            return report_unknown(Refusal.CANCELLED)
+        if self.clock.monotonic() >= request.deadline:
+            client.cancel(number)
+            return report_unknown(Refusal.DEADLINE)
+        return report_unknown(Refusal.LOST)
+
+
+def pack_request(
+    number: int,
+    request: Request,
+    token: str,
+    granted: int,
+    remaining: timedelta,
+    session: str,
+) -> RequestFrame:
+    """Return the frame of a request, with the allowance granted to it."""
+    body = request.body
+    streamed = isinstance(body, Pipe)
+    length = body.length if streamed else len(body)
+    return RequestFrame(
+        call=number,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=b"" if streamed else body,
+        more=streamed,
+        length=-1 if length is None else length,
+        remaining_us=remaining // _MICROSECOND,
+        token=token,
+        allowance=granted,
+        request_id=request.request_id,
+        key=request.key,
+        session=session,
+    )
+
+
+def _unpack_answer(received: ReceivedAnswer) -> Answer:
+    frame = received.frame
+    after = frame.retry_after_ms
+    return Answer(
+        status=frame.status,
+        headers=frame.headers,
+        body=received.body,
+        outcome=Outcome(frame.outcome),
+        refusal=Refusal(frame.refusal),
+        report=Report(frame.unused, frame.level, frame.own_level, frame.retried),
+        retry_after=timedelta(milliseconds=after) if after else None,
+    )
--- /dev/null
+++ b/src/cyclamenvane/wire/handshake.py
@@ -0,0 +1,152 @@
+"""How the two sides of a stream prove that they hold the same key.
+
+Each side sends a nonce and a keyed BLAKE2 hash over both nonces, its side and
+the opening side's role and name. A node proves the key that all nodes share; an
+embedded caller proves the credential that was issued for its name. Until the
+proof has been checked, a side reads at most a few kilobytes and answers
+nothing else.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from .codec import FIRST_FRAMES_BYTES, FrameReader, MalformedFrame, encode_frame
+from .frame import ChallengeFrame, Frame, HelloFrame, ProofFrame, WelcomeFrame
+
+__all__ = [
+    "ROLE_CALLER",
+    "ROLE_NODE",
+    "HandshakeError",
+    "Peer",
+    "accept_handshake",
+    "derive_credential",
+    "open_handshake",
+]
+
+ROLE_NODE = "node"
+ROLE_CALLER = "caller"
+_NONCE_BYTES = 16
+_PROOF_BYTES = 24
+_RECEIVE_BYTES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class HandshakeError:
+    """Why a stream was not taken into use."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """The other side of a stream, once its proof has been checked.
+
+    `session` names one run of the accepting node's process.
+    """
+
+    role: str
+    name: str
+    session: str
+
+
+def derive_credential(caller_key: bytes, name: str) -> bytes:
+    """Return the credential of the caller `name` as ASCII hex."""
+    mark = hashlib.blake2b(name.encode(), key=caller_key[:64], digest_size=16)
+    return mark.hexdigest().encode()
+
+
+def open_handshake(
+    sock: socket.socket, role: str, name: str, key: bytes
+) -> Result[Peer, HandshakeError]:
+    """Prove the key to the accepting side and check its proof."""
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    exchange = _Exchange(sock)
+    exchange.send(HelloFrame(role, name, nonce))
+    challenge = exchange.receive(ChallengeFrame)
+    if challenge is None:
+        return Error(HandshakeError(exchange.problem))
+    expected = _prove(key, b"accept", role, name, nonce, challenge.nonce)
+    if not hmac.compare_digest(expected, challenge.proof):
+        return Error(HandshakeError("the accepting side holds another key"))
+    exchange.send(ProofFrame(_prove(key, b"open", role, name, nonce, challenge.nonce)))
+    welcome = exchange.receive(WelcomeFrame)
+    if welcome is None:
+        return Error(HandshakeError(exchange.problem))
+    return Ok(Peer(role, name, welcome.session))
+
+
+def accept_handshake(
+    sock: socket.socket,
+    session: str,
+    find_key: Callable[[str, str], bytes | None],
+) -> Result[Peer, HandshakeError]:
+    """Check the opening side's proof; `find_key` gives the key for role and name."""
+    exchange = _Exchange(sock)
+    hello = exchange.receive(HelloFrame)
+    if hello is None:
+        return Error(HandshakeError(exchange.problem))
+    key = find_key(hello.role, hello.name)
+    if key is None:
+        return Error(HandshakeError(f"unknown role {hello.role!r}"))
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    sides = (hello.role, hello.name, hello.nonce, nonce)
+    exchange.send(ChallengeFrame(nonce, _prove(key, b"accept", *sides)))
+    proof = exchange.receive(ProofFrame)
+    if proof is None:
+        return Error(HandshakeError(exchange.problem))
+    if not hmac.compare_digest(proof.proof, _prove(key, b"open", *sides)):
+        return Error(HandshakeError(f"{hello.role} {hello.name!r} failed its proof"))
+    exchange.send(WelcomeFrame(session))
+    return Ok(Peer(hello.role, hello.name, session))
+
+
+def _prove(
+    key: bytes, side: bytes, role: str, name: str, first: bytes, second: bytes
+) -> bytes:
+    mark = hashlib.blake2b(key=key[:64], digest_size=_PROOF_BYTES)
+    for part in (side, role.encode(), name.encode(), first, second):
+        mark.update(len(part).to_bytes(4, "big"))
+        mark.update(part)
+    return mark.digest()
+
+
+class _Exchange:
+    def __init__(self, sock: socket.socket) -> None:
+        self.problem = ""
+        self._sock = sock
+        self._reader = FrameReader(FIRST_FRAMES_BYTES)
+
+    def send(self, frame: Frame) -> None:
+        try:
+            self._sock.sendall(encode_frame(frame))
+        except OSError as error:
+            self.problem = str(error)
+
+    def receive(self, kind: type) -> Frame | None:
+        # Each side waits for the other's frame before it sends the next one,
+        # so a read never holds more than one frame.
+        try:
+            while True:
+                data = self._sock.recv(_RECEIVE_BYTES)
+                if not data:
+                    self.problem = self.problem or "the stream was closed"
+                    return None
+                for frame in self._reader.feed(data):
+                    return self._expect(frame, kind)
+        except (OSError, MalformedFrame) as error:
+            self.problem = self.problem or str(error)
+            return None
+
+    def _expect(self, frame: Frame, kind: type) -> Frame | None:
+        if isinstance(frame, kind):
+            return frame
+        self.problem = f"expected {kind.__name__}, got {type(frame).__name__}"
+        return None
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,181 @@
+"""Real nodes and stand-ins on loopback, for tests of the whole path."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+from cyclamenvane.clock import SystemClock
+from cyclamenvane.node import Node
+from cyclamenvane.platform import MemoryPlatform, Platform
+from cyclamenvane.settings import KeySettings, NodeSettings, Settings
+from cyclamenvane.standins import TargetStandIn
+from cyclamenvane.wire import derive_credential
+
+KEYS = KeySettings(
+    nodes="nodes-key-for-tests",
+    callers="callers-key-for-tests",
+    operators="operators-key-for-tests",
+    targets="targets-key-for-tests",
+)
+PATIENCE_S = 20.0
+
+
+def make_settings(zone: str, seeds: tuple[str, ...] = ()) -> Settings:
+    node = NodeSettings(
+        availability_zone=zone,
+        host="127.0.0.1",
+        stream_port=0,
+        gossip_port=0,
+        front_port=0,
+        control_port=0,
+        seeds=seeds,
+        front_loops=2,
+        front_threads=32,
+    )
+    return Settings(node=node, keys=KEYS)
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait for a condition; the patience is no bound that a test states."""
+    end = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < end, f"gave up waiting for {what}"
+        time.sleep(0.01)
+
+
+@dataclass(frozen=True)
+class Reply:
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get("cyclamenvane-outcome", "")
+
+    @property
+    def reason(self) -> str:
+        return self.headers.get("cyclamenvane-reason", "")
+
+
+def fetch(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    connection = http.client.HTTPConnection(*address, timeout=PATIENCE_S)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Reply(response.status, data, found)
+    finally:
+        connection.close()
+
+
+def credential(name: str) -> str:
+    secret = derive_credential(KEYS.callers.encode(), name).decode()
+    return f"{name}.{secret}"
+
+
+@dataclass
+class Cluster:
+    """Nodes that share one platform, each with at most one target."""
+
+    platform: Platform = field(default_factory=lambda: MemoryPlatform(SystemClock()))
+    nodes: list[Node] = field(default_factory=list)
+    targets: list[TargetStandIn] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def add_node(self, zone: str, platform: Platform | None = None, **settings) -> Node:
+        seeds = tuple(node.view.own.name for node in self.nodes[:2])
+        made = make_settings(zone, seeds)
+        made = replace(made, node=replace(made.node, **settings))
+        node = Node(
+            made,
+            SystemClock(),
+            platform or self.platform,
+            on_broken=lambda: self.broken.append(zone),
+        )
+        node.start()
+        self.nodes.append(node)
+        wait_until(lambda: node.ready, "a node to be ready")
+        return node
+
+    def add_target(self, node: Node, service: str, **options) -> TargetStandIn:
+        target = TargetStandIn(**options).start()
+        self.targets.append(target)
+        self.announce(node, service, target)
+        return target
+
+    def announce(
+        self, node: Node, service: str, target: TargetStandIn, leaving: bool = False
+    ) -> None:
+        said = {
+            "service": service,
+            "address": target.address,
+            "slots": target.slots,
+            "leaving": leaving,
+        }
+        reply = self.control(node, "POST", "/targets", said, KEYS.targets)
+        assert reply.status == 200, reply.body
+
+    def control(
+        self,
+        node: Node,
+        method: str,
+        path: str,
+        value: object = None,
+        key: str = KEYS.operators,
+    ) -> Reply:
+        body = None if value is None else json.dumps(value).encode()
+        headers = {"Authorization": f"Bearer {key}"}
+        return fetch(node.control_listener.address, method, path, body, headers)
+
+    def accept(self, node: Node, team: str, text: str, base: int = 0) -> Reply:
+        value = {"team": team, "base": base, "text": text, "operator": "tests"}
+        return self.control(node, "POST", "/policy/accept", value)
+
+    def call(
+        self,
+        node: Node,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        caller: str = "foreman",
+        **headers: str,
+    ) -> Reply:
+        sent = {"Authorization": f"Bearer {credential(caller)}"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return fetch(node.front_listener.address, method, path, body, sent)
+
+    def settle(self, service: str = "", targets: int = 0) -> None:
+        """Wait until every node knows every node and its targets."""
+        count = len(self.nodes)
+
+        def settled() -> bool:
+            return all(
+                len(node.view.all()) == count
+                and (not service or len(node.router.directory.find(service)) == targets)
+                for node in self.nodes
+            )
+
+        wait_until(settled, "the nodes to know each other")
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.kill()
+        for target in self.targets:
+            target.stop()
+
+
+def leave(node: Node, seconds: float = 10.0) -> bool:
+    return node.stop(timedelta(seconds=seconds))
--- /dev/null
+++ b/tests/node/test_path.py
@@ -0,0 +1,76 @@
+"""The whole path of a call, over loopback, in two zones."""
+
+from __future__ import annotations
+
+import pytest
+from harness import Cluster, leave, wait_until
+
+
+@pytest.fixture
+def path(cluster: Cluster) -> Cluster:
+    first, second = cluster.add_node("amman-1"), cluster.add_node("amman-1")
+    third = cluster.add_node("amman-2")
+    cluster.add_target(first, "stock")
+    cluster.add_target(second, "stock")
+    cluster.add_target(third, "booking")
+    cluster.settle("stock", 2)
+    cluster.settle("booking", 1)
+    return cluster
+
+
+def test_every_entry_gets_the_whole_answer(path: Cluster) -> None:
+    for number, node in enumerate(path.nodes):
+        reply = path.call(node, "POST", f"/booking/echo/{number}", b"body")
+        assert reply.status == 200
+        assert reply.body == f"/echo/{number}\nbody".encode()
+        assert reply.outcome == "done"
+
+
+def test_large_answer_arrives_whole(path: Cluster) -> None:
+    size = 3_000_001
+    reply = path.call(path.nodes[0], "GET", f"/booking/bytes/{size}")
+    assert reply.status == 200
+    assert len(reply.body) == size
+
+
+def test_upload_arrives_whole_and_is_bounded_by_the_document(path: Cluster) -> None:
+    body = b"p" * 5_000_000
+    refused = path.call(path.nodes[0], "POST", "/booking/photo", body)
+    assert (refused.status, refused.reason) == (413, "body-too-large")
+    assert refused.outcome == "not-run"
+    section = "[teams.desk.services.booking]\nbody_limit_kb = 8192\n"
+    assert path.accept(path.nodes[0], "desk", section).status == 200
+    node = path.nodes[0]
+    taken = path.call(node, "POST", "/booking/photo", body)
+    assert taken.status == 200
+    assert path.targets[2].received == len(body)
+
+
+def test_caller_without_a_credential_is_refused(path: Cluster) -> None:
+    reply = path.call(path.nodes[0], "GET", "/stock/x", Authorization="Bearer a.b")
+    assert (reply.status, reply.outcome) == (401, "not-run")
+    assert not path.targets[0].runs and not path.targets[1].runs
+
+
+def test_key_runs_once_wherever_it_enters(path: Cluster) -> None:
+    replies = [
+        path.call(node, "POST", "/booking/echo/once", b"b", Idempotency_Key="key-1")
+        for node in path.nodes
+    ]
+    assert {(reply.status, reply.body) for reply in replies} == {
+        (200, b"/echo/once\nb")
+    }
+    assert path.targets[2].runs["/echo/once"] == 1
+
+
+def test_graceful_end_moves_work_elsewhere(path: Cluster) -> None:
+    first, second, third = path.nodes
+    assert leave(first)
+    wait_until(lambda: first.view.own.name not in _names(third), "news of the leaving")
+    for number in range(10):
+        assert path.call(third, "GET", f"/stock/{number}").status == 200
+    assert sum(path.targets[1].runs.values()) == 10
+
+
+def _names(node) -> set[str]:
+    return {member.name for member in node.view.all()}
