Give each request of a connection to one thread only

Cause: a thread that stopped waiting on a connection and the connection's loop could both take the same request, which was then answered twice; the next request on the connection got the second answer.

Ruled out: lengths of streamed answers, the 100 Continue line.

Change: who takes the next request is decided under the lock of the connection's requests.

Also: admission levels rise in growing steps, compare the wait in the queue with the time a call takes, and hold for a moment at the callers; a refusal on the way is told to the nodes above.

--- a/bench/field.py
+++ b/bench/field.py
@@ -160,12 +160,16 @@
         self, node: NodeProcess, service: str, slots: int, delay_s: float = 0.0, *more
     ) -> TargetProcess:
         """Start a target beside a node and announce it."""
+        target = self.start_target(slots, delay_s, *more)
+        self.announce(node, service, target)
+        return target
+
+    def start_target(self, slots: int, delay_s: float, *more: str) -> TargetProcess:
+        """Start a target without a node."""
         arguments = ["-m", "bench.target", str(slots), str(delay_s), *more]
         process = self._spawn(*arguments)
         address = json.loads(process.stdout.readline())["address"]
-        target = TargetProcess(process, address, slots)
-        self.announce(node, service, target)
-        return target
+        return TargetProcess(process, address, slots)
 
     def announce(
         self, node: NodeProcess, service: str, target: TargetProcess, **more
--- a/bench/target.py
+++ b/bench/target.py
@@ -1,41 +1,73 @@
-"""A target stand-in as a process: `python -m bench.target SLOTS DELAY_S [NEXT]`.
+"""A target stand-in as a process: `python -m bench.target SLOTS DELAY_S ...`.
+
+Further arguments: CONNECTIONS, then where each request calls next, either
+`node:HOST:PORT/SERVICE/PATH` (through a node, passing the context on) or
+`naive:HOST:PORT,HOST:PORT` (straight to targets, with three retries).
 
-NEXT is `host:port/service/path`, which each request then calls through a node.
 Commands on standard input, one JSON line of answer each: `delay S` changes the
-delay, `count` gives what was run, `paths PREFIX` the runs of each path.
+delay, `count` gives totals, `roots` the runs and busy time of each root.
 """
 
 from __future__ import annotations
 
 import http.client
 import json
+import random
 import sys
 import threading
+from collections.abc import Callable
 
 from cyclamenvane.calls import CONTEXT_HEADER
 from cyclamenvane.standins import TargetStandIn
+from cyclamenvane.standins.target import ROOT_HEADER, Headers, Served
 
+NAIVE_RETRIES = 3
+_TIMEOUT_S = 60.0
 _LOCAL = threading.local()
 
 
-def make_next(place: str):
+def send(address: str, path: str, headers: Headers) -> Served:
+    """Send a request on this thread's connection to an address."""
+    connections = _LOCAL.__dict__.setdefault("connections", {})
+    connection = connections.get(address)
+    if connection is None:
+        host, port = address.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+        connections[address] = connection
+    try:
+        connection.request("GET", path, headers=headers)
+        response = connection.getresponse()
+        return response.status, response.read()
+    except (OSError, http.client.HTTPException):
+        connection.close()
+        connections.pop(address)
+        return 599, b""
+
+
+def make_next(place: str) -> Callable[[Headers], Served]:
     """Return what makes the further call of each request."""
-    address, _, path = place.partition("/")
-    host, port = address.split(":")
-
-    def call(token: str) -> tuple[int, bytes]:
-        connection = getattr(_LOCAL, "connection", None)
-        if connection is None:
-            connection = http.client.HTTPConnection(host, int(port), timeout=30)
-            _LOCAL.connection = connection
-        try:
-            connection.request("GET", f"/{path}", headers={CONTEXT_HEADER: token})
-            response = connection.getresponse()
-            return response.status, response.read()
-        except (OSError, http.client.HTTPException):
-            connection.close()
-            _LOCAL.connection = None
-            return 599, b""
+    kind, _, rest = place.partition(":")
+    if kind == "naive":
+        return make_naive(rest.split(","))
+    address, _, path = rest.partition("/")
+
+    def call(headers: Headers) -> Served:
+        token = headers.get(CONTEXT_HEADER.lower(), "")
+        return send(address, f"/{path}", {CONTEXT_HEADER: token})
+
+    return call
+
+
+def make_naive(addresses: list[str]) -> Callable[[Headers], Served]:
+    """Return a call with three retries, no limits and no deadline."""
+
+    def call(headers: Headers) -> Served:
+        sent = {ROOT_HEADER: headers.get(ROOT_HEADER, "")}
+        for _ in range(1 + NAIVE_RETRIES):
+            answer = send(random.choice(addresses), "/x", sent)
+            if answer[0] == 200:
+                break
+        return answer
 
     return call
 
@@ -43,8 +75,9 @@
 def main() -> None:
     """Serve until standard input ends."""
     slots, delay_s = int(sys.argv[1]), float(sys.argv[2])
-    following = make_next(sys.argv[3]) if len(sys.argv) > 3 else None
-    target = TargetStandIn(slots, delay_s, following).start()
+    connections = int(sys.argv[3]) if len(sys.argv) > 3 else 1000
+    following = make_next(sys.argv[4]) if len(sys.argv) > 4 else None
+    target = TargetStandIn(slots, delay_s, following, connections).start()
     print(json.dumps({"address": target.address}), flush=True)
     for line in sys.stdin:
         print(json.dumps(run_command(target, line.split())), flush=True)
@@ -55,9 +88,10 @@
     if words[0] == "delay":
         target.delay_s = float(words[1])
         return {"delay_s": target.delay_s}
+    if words[0] == "roots":
+        return {"runs": target.runs_by_root, "busy_s": target.busy_by_root}
     if words[0] == "paths":
-        runs = {k: v for k, v in target.runs.items() if k.startswith(words[1])}
-        return {"runs": runs}
+        return {"paths": target.runs}
     return {
         "runs": sum(target.runs.values()),
         "busy_s": target.busy_s,
--- a/src/cyclamenvane/admission/gate.py
+++ b/src/cyclamenvane/admission/gate.py
@@ -26,7 +26,7 @@
 
 ADMITTED = "admitted"
 QUEUED = "queued"
-_QUEUE_PER_SLOT = 1.0
+_SHORTEST_QUEUE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +146,7 @@
 
     def _enqueue(self, waiting: Waiting) -> tuple[str | Refusal, Waiting | None]:
         evicted = None
-        if len(self._queue) >= max(1, int(self._limit.limit * _QUEUE_PER_SLOT)):
+        if len(self._queue) >= max(_SHORTEST_QUEUE, self._limit.limit):
             self._level.note_overflow()
             if self._queue.last().rank <= waiting.rank:
                 return Refusal.OVERLOAD, None
@@ -182,7 +182,7 @@
 
     def _advance(self, now: timedelta) -> None:
         self._limit.advance(now)
-        self._level.advance(now)
+        self._level.advance(now, self._time.estimate(now))
 
 
 def _refuse_all(refused: list[tuple[Waiting, Refusal]]) -> None:
--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -3,7 +3,8 @@
 Calls whose rank is at or above the level are refused on arrival. The level is
 set anew at the end of each window. After a window in which calls waited too
 long it is lowered to the rank below which somewhat fewer calls arrived than
-were admitted; after any other window it rises again.
+were admitted. After any other window it rises, by twice as much as after the one
+before: in small steps while the overload lasts, and to the top soon after it.
 """
 
 from __future__ import annotations
@@ -16,17 +17,24 @@
 __all__ = ["GOODPUT", "RECOVERY", "AdmissionLevel", "LevelTuning"]
 
 
+_MOST_STEPS = 16
+_LEAST_STARTED = 8
+_LONGEST_WINDOWS = 10
+
+
 @dataclass(frozen=True, slots=True)
 class LevelTuning:
     """How quickly a level moves, and what wait it aims for.
 
-    `wait` is the mean wait in the queue above which the target counts as
-    overloaded, `cut` the share by which admissions are then reduced, `rise` the
-    ranks by which the level rises after a window without overload.
+    The target counts as overloaded when the mean wait in its queue is above
+    `wait` and above `wait_share` of the time that a call takes there. Admissions
+    are then reduced by the share `cut`. `rise` is the first step, in ranks, by
+    which the level rises after the overload.
     """
 
     window: timedelta
     wait: timedelta
+    wait_share: float
     cut: float
     rise: int
 
@@ -34,14 +42,16 @@
 RECOVERY = LevelTuning(
     window=timedelta(milliseconds=100),
     wait=timedelta(milliseconds=10),
+    wait_share=0.5,
     cut=0.10,
-    rise=64,
+    rise=4,
 )
 GOODPUT = LevelTuning(
     window=timedelta(milliseconds=200),
     wait=timedelta(milliseconds=40),
+    wait_share=1.0,
     cut=0.05,
-    rise=32,
+    rise=2,
 )
 
 
@@ -56,6 +66,7 @@
         self._started = 0
         self._waited = timedelta()
         self._overflowed = False
+        self._step = tuning.rise
 
     def admits(self, rank: int) -> bool:
         """Whether a call of that rank is taken at present."""
@@ -78,27 +89,40 @@
         """Note that a call was refused for want of room in the queue."""
         self._overflowed = True
 
-    def advance(self, now: timedelta) -> None:
-        """End the window when it is over, and move the level."""
-        elapsed = now - self._began
-        if elapsed < self._tuning.window:
+    def advance(self, now: timedelta, took: timedelta) -> None:
+        """End the window when it is over, and move the level.
+
+        `took` is the time that a call takes at the target at present.
+        """
+        windows = (now - self._began) // self._tuning.window
+        if not windows or self._knows_too_little(windows):
             return
-        if self._is_overloaded():
+        if self._is_overloaded(took):
             self._lower()
+            self._step = self._tuning.rise
         else:
-            windows = elapsed // self._tuning.window
-            self.level = min(RANKS, self.level + self._tuning.rise * windows)
+            self._raise(windows)
         self._reset(now)
 
-    def _is_overloaded(self) -> bool:
+    def _knows_too_little(self, windows: int) -> bool:
+        # The ranks of a few calls say nothing of where the level should be.
+        return 0 < self._started < _LEAST_STARTED and windows < _LONGEST_WINDOWS
+
+    def _is_overloaded(self, took: timedelta) -> bool:
         if self._overflowed:
             return True
         if not self._started:
             return False
-        return self._waited / self._started > self._tuning.wait
+        longest = max(self._tuning.wait, took * self._tuning.wait_share)
+        return self._waited / self._started > longest
+
+    def _raise(self, windows: int) -> None:
+        for _ in range(min(windows, _MOST_STEPS)):
+            self.level = min(RANKS, self.level + self._step)
+            self._step = min(2 * self._step, RANKS)
 
     def _lower(self) -> None:
-        room = int(self._started * (1 - self._tuning.cut))
+        room = max(1, int(self._started * (1 - self._tuning.cut)))
         total = 0
         for rank, count in enumerate(self._counts[: self.level]):
             total += count
--- a/src/cyclamenvane/node/channel.py
+++ b/src/cyclamenvane/node/channel.py
@@ -127,22 +127,28 @@
         super().__init__(*args, **kwargs)
         self.parser_class = self._next_parser
 
+    def received(self, data: bytes) -> bool:
+        """Take in bytes; a request that is whole gets a thread.
+
+        The loop's thread decides here that the connection goes over to the
+        thread of the request, so the two never read it at the same time.
+        """
+        budget: LingerBudget = self.server.linger
+        goes_over = not (self.lingers or self.requests) and budget.enter()
+        self.lingers = self.lingers or goes_over
+        taken = super().received(data)
+        if goes_over and (self._upload is not None or not self.requests):
+            self.lingers = False
+            budget.leave()
+        if self.requests and goes_over:
+            self.server.dispatch(self)
+        return taken
+
     def service(self) -> None:
         """Serve a request, and those that follow it soon."""
-        budget: LingerBudget = self.server.linger
-        self.lingers = self._upload is None and budget.enter()
-        if not self.lingers:
-            super().service()
-            return
-        _HELD.channel = self
-        try:
+        mine = self._serve_on() if self.lingers else True
+        if mine and self.connected:
             super().service()
-            while self._await_request():
-                super().service()
-        finally:
-            _HELD.channel = None
-            budget.leave()
-            self._return_to_loop()
 
     def check_client_disconnected(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -179,8 +185,27 @@
             self.total_outbufs_len or self.will_close or self.close_when_flushed
         )
 
+    def _serve_on(self) -> bool:
+        """Serve while requests come; return whether one is left to this thread."""
+        _HELD.channel = self
+        try:
+            while self._await_request():
+                super().service()
+        finally:
+            _HELD.channel = None
+            with self.requests_lock:
+                # From here on the loop gives a thread to the next request; one
+                # that is here already stays with this thread.
+                self.lingers = False
+                mine = bool(self.requests)
+            self.server.linger.leave()
+            self.server.pull_trigger()
+        return mine
+
     def _await_request(self) -> bool:
-        while self.connected and self.is_quiet() and self._upload is None:
+        while self.connected:
+            if self._upload is not None or not self.is_quiet():
+                return False
             if self.requests:
                 return True
             if not _poll(self.socket, select.POLLIN, _LINGER):
@@ -188,14 +213,6 @@
             self.handle_read()
         return False
 
-    def _return_to_loop(self) -> None:
-        with self.requests_lock:
-            self.lingers = False
-            waiting = bool(self.requests) and self.connected
-        if waiting:
-            self.server.add_task(self)
-        self.server.pull_trigger()
-
     def _next_parser(self, adj: Any) -> _Parser | _UploadBody:
         # What follows the headers of an upload is its body, even when the
         # request has been answered already.
@@ -227,9 +244,13 @@
         self._executor = executor
 
     def add_task(self, channel: _Channel) -> None:
-        """Serve a connection's request, unless a thread already waits on it."""
+        """Serve a connection's request, unless a thread has the connection."""
         if not channel.lingers:
-            self._executor.submit(channel.service)
+            self.dispatch(channel)
+
+    def dispatch(self, channel: _Channel) -> None:
+        """Serve a connection's request."""
+        self._executor.submit(channel.service)
 
     def shutdown(self, cancel_pending: bool = True, timeout: int = 5) -> bool:
         """Leave the pool to its owner."""
@@ -245,6 +266,10 @@
         self.linger = linger
         super().__init__(*args, **kwargs)
 
+    def dispatch(self, channel: _Channel) -> None:
+        """Give a connection over to a thread."""
+        self.task_dispatcher.dispatch(channel)
+
     def pull_trigger(self) -> None:
         """Wake the loop, unless the thread that asks holds a quiet connection."""
         held: _Channel | None = getattr(_HELD, "channel", None)
--- a/src/cyclamenvane/routing/choice.py
+++ b/src/cyclamenvane/routing/choice.py
@@ -32,7 +32,7 @@
 
 _MOST_TRACKS = 4096
 _MOST_ROUTES = 1024
-_ROUTE_SMOOTHING = 0.1
+_ROUTE_SMOOTHING = 0.3
 _DELAY_RANGE = 4.0
 
 
@@ -95,6 +95,18 @@
             self._track(chosen, now).in_flight += 1
             return chosen
 
+    def read_level(self, service: str, route: str) -> int:
+        """Return the level at which calls of a kind are taken at present."""
+        now = self._clock.monotonic()
+        with self._lock:
+            targets = [
+                self._track(each, now).level(now)
+                for each in self._directory.find(service)
+            ]
+            return min(
+                max(targets, default=RANKS), self._route_level(service, route, now)
+            )
+
     def begin(self, endpoint: Endpoint) -> None:
         """Count a call as under way at a target that was not chosen here."""
         with self._lock:
@@ -153,8 +165,7 @@
         return sound if len(sound) * 2 >= len(group) else group
 
     def _has_room(self, endpoint: Endpoint) -> bool:
-        track = self._tracks[endpoint.name]
-        return track.in_flight < 2 * max(1, endpoint.target.slots)
+        return self._tracks[endpoint.name].in_flight < max(1, endpoint.target.slots)
 
     def _pick(self, taking: list[Endpoint], name: str, now: timedelta) -> Endpoint:
         if len(taking) > 2:
--- a/src/cyclamenvane/routing/router.py
+++ b/src/cyclamenvane/routing/router.py
@@ -83,6 +83,7 @@
                 return last or refuse_call(Refusal.DEADLINE)
             endpoint = self._choose(request, without)
             if isinstance(endpoint, Refusal):
+                self._note_refusal(endpoint, request, scope)
                 return last or refuse_none(endpoint)
             answer = self.send(endpoint, request, scope, token)
             if not self._may_go_on(request, answer, scope):
@@ -139,6 +140,14 @@
             without,
         )
 
+    def _note_refusal(
+        self, refusal: Refusal, request: Request, scope: CallScope
+    ) -> None:
+        # The nodes above learn of it too, and refuse before anything is spent.
+        if refusal is Refusal.OVERLOAD:
+            route = name_route(request)
+            scope.observe_level(self.chooser.read_level(request.service, route))
+
     def _may_go_on(self, request: Request, answer: Answer, scope: CallScope) -> bool:
         if scope.cancelled or not _can_resend(request):
             return False
--- a/src/cyclamenvane/routing/track.py
+++ b/src/cyclamenvane/routing/track.py
@@ -6,9 +6,10 @@
 
 from ..calls import RANKS
 
-__all__ = ["LEVEL_REGAIN", "TargetTrack", "regain_level"]
+__all__ = ["LEVEL_HOLDS", "LEVEL_REGAIN", "TargetTrack", "regain_level"]
 
-LEVEL_REGAIN = timedelta(seconds=1)
+LEVEL_HOLDS = timedelta(milliseconds=300)
+LEVEL_REGAIN = timedelta(milliseconds=500)
 _FAILURES_TO_EJECT = 5
 _SHORTEST_EJECTION = timedelta(seconds=1)
 _LONGEST_EJECTION = timedelta(seconds=30)
@@ -20,10 +21,12 @@
 def regain_level(level: int, since: timedelta) -> int:
     """Return what an admission level told some time ago still stands for.
 
-    It rises back to full within `LEVEL_REGAIN`, so calls find out by themselves
-    that a target has recovered.
+    It holds for `LEVEL_HOLDS` and then rises back to full within
+    `LEVEL_REGAIN`, so calls find out by themselves that a target has recovered.
     """
-    return min(RANKS, level + int(RANKS * (since / LEVEL_REGAIN)))
+    if since <= LEVEL_HOLDS:
+        return level
+    return min(RANKS, level + int(RANKS * ((since - LEVEL_HOLDS) / LEVEL_REGAIN)))
 
 
 class TargetTrack:
--- a/src/cyclamenvane/standins/target.py
+++ b/src/cyclamenvane/standins/target.py
@@ -1,9 +1,10 @@
 """A target that serves HTTP with a given number of slots and a given delay.
 
-It counts what it runs, so a test or bench can tell what took effect. `delay_s`
-may be changed while it runs. A path `/echo/...` answers its own path and body,
-`/bytes/N` answers N bytes, anything else a short text. A request whose caller
-set `call_next` makes a further call with the context header it was given.
+It counts what it runs, so a test or bench can tell what took effect. Requests
+beyond its slots wait, those beyond its connections are shed with status 503.
+`delay_s` may be changed while it runs. A path `/echo/...` answers its own path
+and body, `/bytes/N` answers N bytes, anything else a short text. With `call_next`
+each request makes a further call, for which it is given the request's headers.
 """
 
 from __future__ import annotations
@@ -16,12 +17,14 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
-from ..calls import CONTEXT_HEADER
+from ..calls import CONTEXT_HEADER, read_context
 
-__all__ = ["Served", "TargetStandIn"]
+__all__ = ["ROOT_HEADER", "Served", "TargetStandIn"]
 
 _CHUNK = 64 * 1024
+ROOT_HEADER = "x-root"
 Served = tuple[int, bytes]
+Headers = dict[str, str]
 
 
 class TargetStandIn:
@@ -31,17 +34,21 @@
         self,
         slots: int = 16,
         delay_s: float = 0.0,
-        call_next: Callable[[str], Served] | None = None,
+        call_next: Callable[[Headers], Served] | None = None,
+        connections: int = 1000,
         host: str = "127.0.0.1",
     ) -> None:
         self.slots = slots
+        self.connections = connections
         self.delay_s = delay_s
         self.call_next = call_next
         self.runs: Counter[str] = Counter()
         self.busy_s = 0.0
         self.busy_by_root: Counter[str] = Counter()
+        self.runs_by_root: Counter[str] = Counter()
         self.received = 0
         self.shed = 0
+        self._inside = 0
         self._slots = threading.BoundedSemaphore(slots)
         self._lock = threading.Lock()
         self._server = _Server((host, 0), _make_handler(self))
@@ -58,28 +65,44 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def serve(
-        self, path: str, body: Iterable[bytes], headers: dict[str, str]
-    ) -> Served:
+    def serve(self, path: str, body: Iterable[bytes], headers: Headers) -> Served:
         """Run one request and return its status and body."""
-        if not self._slots.acquire(blocking=False):
-            self.shed += 1
-            return 503, b"no slot\n"
+        if not self._enter():
+            return 503, b"no connection left\n"
+        self._slots.acquire()
         began = time.monotonic()
         try:
             return self._run(path, body, headers)
         finally:
             self._slots.release()
-            self._note_busy(headers, time.monotonic() - began)
+            self._leave(headers, time.monotonic() - began)
 
-    def _run(self, path: str, body: Iterable[bytes], headers: dict[str, str]) -> Served:
+    def _enter(self) -> bool:
+        with self._lock:
+            if self._inside >= self.connections:
+                self.shed += 1
+                return False
+            self._inside += 1
+            return True
+
+    def _leave(self, headers: Headers, took: float) -> None:
+        context = read_context(headers.get(CONTEXT_HEADER.lower(), ""))
+        root = context.root if context else headers.get(ROOT_HEADER, "")
+        with self._lock:
+            self._inside -= 1
+            self.busy_s += took
+            if root:
+                self.busy_by_root[root] += took
+                self.runs_by_root[root] += 1
+
+    def _run(self, path: str, body: Iterable[bytes], headers: Headers) -> Served:
         sent = b"".join(self._keep_small(body))
         with self._lock:
             self.runs[path] += 1
         if self.delay_s:
             time.sleep(self.delay_s)
         if self.call_next is not None:
-            status, answer = self.call_next(headers.get(CONTEXT_HEADER.lower(), ""))
+            status, answer = self.call_next(headers)
             if status >= 400:
                 return 502, answer
         if path.startswith("/echo/"):
@@ -94,10 +117,6 @@
             if len(chunk) < _CHUNK:
                 yield chunk
 
-    def _note_busy(self, headers: dict[str, str], took: float) -> None:
-        with self._lock:
-            self.busy_s += took
-
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
