Fuzz the decisions against simple oracles

Cause: admission, allowances, effects, membership, acceptance, streams and codecs were proved by a few calls on real nodes only.

--- a/src/cyclamenvane/admission/limit.py
+++ b/src/cyclamenvane/admission/limit.py
@@ -18,7 +18,7 @@
 _SHRINK = 0.9
 _GROW = 1.25
 _WINDOW = timedelta(milliseconds=200)
-_SMOOTHING = 0.1
+_SMOOTHING = 0.3
 _BASELINE_DRIFT = 0.02
 
 
--- /dev/null
+++ b/tests/policy/test_document.py
@@ -0,0 +1,81 @@
+"""Reading and checking the policy document."""
+
+from __future__ import annotations
+
+import tomllib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cyclamenvane.calls import Importance
+from cyclamenvane.policy import parse_document, split_sections
+from cyclamenvane.policy.rulebook import build_rulebook
+from cyclamenvane.policy.section import Section
+
+DOCUMENT = """\
+# the desk's own words
+[teams.desk]
+objective = "recovery"
+
+[teams.desk.services.booking]
+non_idempotent = ["POST /bookings"] # never twice
+
+[[teams.desk.services.booking.importance]]
+callers = ["crane-crews"]
+requests = ["GET /positions/*"]
+level = "critical"
+
+[teams.vault]
+[teams.vault.services.vault]
+"""
+
+
+def test_sections_keep_their_words() -> None:
+    parts = split_sections(DOCUMENT)
+    assert parts["desk"].startswith("# the desk's own words\n[teams.desk]")
+    assert "# never twice" in parts["desk"]
+    whole = tomllib.loads(DOCUMENT)
+    joined = tomllib.loads("\n".join(parts.values()))
+    assert joined == whole
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('"recovery"', '"speed"', "document:3: section 'desk'"),
+        ('"critical"', '"utmost"', "document:11: section 'desk'"),
+        ('"POST /bookings"', '"bookings"', "document:6: section 'desk'"),
+        ("services.vault]", "services.booking]", "also in section 'desk'"),
+        ("[teams.vault]", "[teams.vault]\nspeed = 1", "unknown key 'speed'"),
+        ("[teams.vault]", "[teams.vault", "document:"),
+    ],
+)
+def test_problem_names_section_line_and_remedy(old: str, new: str, told: str) -> None:
+    text = str(parse_document(DOCUMENT.replace(old, new)).error)
+    assert told in text
+
+
+@given(st.text(max_size=300))
+def test_any_text_is_judged(text: str) -> None:
+    parse_document(text)
+
+
+@given(st.text(alphabet='[]teams.=\n"x1#{}', max_size=120))
+def test_any_toml_is_judged(text: str) -> None:
+    parsed = parse_document("[teams.x]\n" + text)
+    if parsed.is_ok():
+        assert set(split_sections("[teams.x]\n" + text)) == set(parsed.ok.teams)
+
+
+def test_rules_decide_by_caller_and_request(clock) -> None:
+    section = Section("desk", 1, DOCUMENT, "e", "ana", clock.now())
+    book = build_rulebook([section]).find("booking")
+    crew = book.decide("crane-crews", "GET", "/positions/7?fresh=1")
+    assert (crew.importance, crew.repeatable) == (Importance.CRITICAL, True)
+    foreman = book.decide("foremen", "GET", "/positions/7")
+    assert foreman.importance is Importance.NORMAL
+    booking = book.decide("foremen", "POST", "/bookings")
+    assert booking.keyed and not booking.repeatable
+    other = book.decide("foremen", "POST", "/notes")
+    assert not other.keyed and not other.repeatable
--- /dev/null
+++ b/tests/wire/test_client.py
@@ -0,0 +1,105 @@
+"""Fuzzing of calls on a stream against a scripted other side."""
+
+from __future__ import annotations
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from cyclamenvane.clock import SystemClock
+from cyclamenvane.wire import FrameReader, Peer, RequestFrame, encode_frame
+from cyclamenvane.wire.client import StreamClient
+from cyclamenvane.wire.frame import AnswerFrame, CancelFrame
+from cyclamenvane.wire.stream import Stream
+
+PATIENCE = timedelta(seconds=20)
+
+
+def make_request(number: int) -> RequestFrame:
+    return RequestFrame(
+        number, "s", "GET", "/", (), b"", False, 0, 10**6, "", 0, "", "", ""
+    )
+
+
+def make_answer(number: int) -> AnswerFrame:
+    body = f"answer to {number}".encode()
+    return AnswerFrame(number, 200, (), body, False, -1, 0, 0, 0, 0, 0, False, 0)
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """The oracle: a call gets the answer of its own number, once, or none."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.open()
+
+    def open(self) -> None:
+        ours, self.theirs = socket.socketpair()
+        self.theirs.settimeout(PATIENCE.total_seconds())
+        self.pool = ThreadPoolExecutor(2)
+        self.client = StreamClient(
+            Stream(ours, SystemClock()), Peer("node", "n", "s"), self.pool
+        )
+        self.reading = self.pool.submit(self.client.read)
+        self.reader = FrameReader()
+        self.waiting: dict[int, object] = {}
+        self.ended: set[int] = set()
+
+    def receive(self) -> list:
+        return list(self.reader.feed(self.theirs.recv(65536)))
+
+    @rule()
+    def call(self) -> None:
+        pending = self.client.call(make_request, None)
+        assert [frame.call for frame in self.receive()] == [pending.number]
+        self.waiting[pending.number] = pending
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data(), copies=st.integers(1, 3))
+    def answer(self, data: st.DataObject, copies: int) -> None:
+        number = data.draw(st.sampled_from(sorted(self.waiting)))
+        self.theirs.sendall(encode_frame(make_answer(number)) * copies)
+        got = self.waiting.pop(number).wait(PATIENCE)
+        assert got.frame == make_answer(number)
+        self.ended.add(number)
+
+    @rule(number=st.integers(0, 9), never_made=st.booleans())
+    def send_answer_nobody_waits_for(self, number: int, never_made: bool) -> None:
+        # The other side cannot answer a call before it has been made, so a
+        # number is either one that has ended or far from being used.
+        if never_made or number in self.ended:
+            number += 1000 * never_made
+            self.theirs.sendall(encode_frame(make_answer(number)))
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        number = data.draw(st.sampled_from(sorted(self.waiting)))
+        pending = self.waiting.pop(number)
+        pending.cancel()
+        assert self.receive() == [CancelFrame(number)]
+        assert pending.wait(PATIENCE) is None
+        self.ended.add(number)
+
+    @rule()
+    def cut_stream(self) -> None:
+        self.theirs.close()
+        for pending in self.waiting.values():
+            assert pending.wait(PATIENCE) is None
+        self.reading.result(PATIENCE.total_seconds())
+        assert self.client.call(make_request, None) is None
+        self.teardown()
+        self.open()
+
+    def teardown(self) -> None:
+        self.theirs.close()
+        self.client.close()
+        self.reading.result(PATIENCE.total_seconds())
+        assert not self.client.busy
+        self.pool.shutdown()
+
+
+TestStream = StreamMachine.TestCase
