--- a/src/cyclamenvane/admission/gate.py
+++ b/src/cyclamenvane/admission/gate.py
@@ -27,6 +27,7 @@
 ADMITTED = "admitted"
 QUEUED = "queued"
 _SHORTEST_QUEUE = 4
+_CRITICAL_FACTOR = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +147,7 @@
 
     def _enqueue(self, waiting: Waiting) -> tuple[str | Refusal, Waiting | None]:
         evicted = None
-        if len(self._queue) >= max(_SHORTEST_QUEUE, self._limit.limit):
+        if len(self._queue) >= self._queue_room() and not self._may_exceed(waiting):
             self._level.note_overflow()
             if self._queue.last().rank <= waiting.rank:
                 return Refusal.OVERLOAD, None
@@ -154,6 +155,15 @@
         self._queue.add(waiting)
         return QUEUED, evicted
 
+    def _queue_room(self) -> int:
+        return max(_SHORTEST_QUEUE, self._limit.limit)
+
+    def _may_exceed(self, waiting: Waiting) -> bool:
+        # Critical calls make room for each other for as long as their deadlines
+        # permit; any other call that waits goes first.
+        critical = max(waiting.rank, self._queue.last().rank) < RANKS_PER_IMPORTANCE
+        return critical and len(self._queue) < _CRITICAL_FACTOR * self._queue_room()
+
     def _finishes_late(self, waiting: Waiting, now: timedelta) -> bool:
         took = self._time.estimate(now)
         ahead = self._queue.count_before(waiting.rank)
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -131,3 +131,15 @@
         clock.advance(0.1)
         gate.sweep()
     assert gate.level == RANKS
+
+
+def test_critical_calls_do_not_displace_each_other(clock: ManualClock) -> None:
+    gate = Gate(1, clock)
+    refused: list[Refusal] = []
+    assert gate.offer(make_waiting(clock, 0)) is ADMITTED
+    for rank in (120, 100, 90, 80, 70, 60, 50):
+        now = clock.monotonic()
+        end = now + timedelta(seconds=10)
+        waiting = Waiting(rank, 0, end, now, lambda: None, refused.append)
+        assert gate.offer(waiting) is QUEUED
+    assert not refused
