Hand on the reading of a stream only before waiting

Cause: the thread that served a request woke another one to read on before it had done any work, and the two then competed for the interpreter.

Change: the reading is handed on just before the thread waits for the target; a refused call keeps the thread that read it. What arrives at the front is one value instead of six parameters. Targets count as overloaded when calls wait for one (recovery) or two (goodput) times a call's time; half and one time were exceeded at half load with few slots.

--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -42,14 +42,14 @@
 RECOVERY = LevelTuning(
     window=timedelta(milliseconds=100),
     wait=timedelta(milliseconds=10),
-    wait_share=0.5,
+    wait_share=1.0,
     cut=0.10,
     rise=4,
 )
 GOODPUT = LevelTuning(
     window=timedelta(milliseconds=200),
     wait=timedelta(milliseconds=40),
-    wait_share=1.0,
+    wait_share=2.0,
     cut=0.05,
     rise=2,
 )
--- a/src/cyclamenvane/node/connection.py
+++ b/src/cyclamenvane/node/connection.py
@@ -107,11 +107,14 @@
     scope: CallScope,
     remaining: timedelta,
     on_end: Callable[[int], None],
+    before_wait: Callable[[], None],
 ) -> Answer:
     """Return the target's answer to a request.
 
     `on_end` is called once the answer has been read to its end with its status,
-    or with 0 when it was not whole. A large answer is read only as its body is.
+    or with 0 when it was not whole. `before_wait` is called before this thread
+    waits for the target or for the rest of the body. A large answer is read only
+    as its body is.
     """
     try:
         connection = pool.take(request.repeatable, remaining)
@@ -121,7 +124,10 @@
     forget = scope.on_cancel(lambda: _break(connection))
     ended = _Ending(pool, connection, forget, on_end)
     try:
+        if isinstance(request.body, Pipe):
+            before_wait()
         _send(connection, request, headers)
+        before_wait()
         response = connection.getresponse()
         body = _read_body(response, request.method, ended)
     except BodyFailed:
--- a/src/cyclamenvane/node/execution.py
+++ b/src/cyclamenvane/node/execution.py
@@ -107,11 +107,16 @@
             )
 
     def serve(
-        self, request: Request, scope: CallScope, reply: Reply, inline: bool = False
+        self,
+        request: Request,
+        scope: CallScope,
+        reply: Reply,
+        before_wait: Callable[[], None] = lambda: None,
     ) -> None:
         """Take in a call; `reply` gets its one answer.
 
-        With `inline` a call that is admitted at once runs in this thread.
+        A call that is admitted at once runs in this thread, and `before_wait`
+        is called before it waits for the target.
         """
         with self._lock:
             self._under_way += 1
@@ -120,9 +125,9 @@
         if request.key and ticket is None:
             answer(refuse_call(Refusal.BAD_REQUEST, "the key is no ticket"))
         elif ticket is not None:
-            self._serve_once(ticket, request, scope, answer, inline)
+            self._serve_once(ticket, request, scope, answer, before_wait)
         else:
-            self._admit(request, scope, answer, inline)
+            self._admit(request, scope, answer, before_wait)
 
     def sweep(self) -> None:
         """Start and refuse waiting calls as time passes."""
@@ -147,7 +152,7 @@
         request: Request,
         scope: CallScope,
         reply: Reply,
-        inline: bool,
+        before_wait: Callable[[], None],
     ) -> None:
         caller = request.context.caller
         unused = scope.context.allowance
@@ -168,10 +173,14 @@
             self._ledger.finish(caller, ticket, answer)
             reply(answer)
 
-        self._admit(request, scope, settle, inline)
+        self._admit(request, scope, settle, before_wait)
 
     def _admit(
-        self, request: Request, scope: CallScope, reply: Reply, inline: bool
+        self,
+        request: Request,
+        scope: CallScope,
+        reply: Reply,
+        before_wait: Callable[[], None],
     ) -> None:
         target = self._targets.find(request.service)
         refusal = self._check(target, request)
@@ -180,10 +189,8 @@
             return
         waiting = self._make_waiting(target, request, scope, reply)
         verdict = target.gate.offer(waiting)
-        if verdict is ADMITTED and inline:
-            self._run(target, request, scope, reply)
-        elif verdict is ADMITTED:
-            self._executor.submit(self._run, target, request, scope, reply)
+        if verdict is ADMITTED:
+            self._run(target, request, scope, reply, before_wait)
         elif isinstance(verdict, Refusal):
             reply(self._refuse(verdict, scope, target))
         else:
@@ -231,7 +238,12 @@
         return Report(scope.left, min(own, scope.level), own, scope.retried)
 
     def _run(
-        self, target: LocalTarget, request: Request, scope: CallScope, reply: Reply
+        self,
+        target: LocalTarget,
+        request: Request,
+        scope: CallScope,
+        reply: Reply,
+        before_wait: Callable[[], None] = lambda: None,
     ) -> None:
         began = self._clock.monotonic()
         dispatch = f"{self._ledger.session}-{secrets.token_hex(6)}"
@@ -240,7 +252,7 @@
         def end(status: int) -> None:
             self._end(target, dispatch, scope, began, status)
 
-        answer = self._exchange(target, request, scope, dispatch, end)
+        answer = self._exchange(target, request, scope, dispatch, end, before_wait)
         if answer.status < 500 and request.request_id:
             self.resends.settle(request.context.caller, request.request_id)
         reply(answer.with_report(self._report(scope, target)))
@@ -252,6 +264,7 @@
         scope: CallScope,
         dispatch: str,
         end: Callable[[int], None],
+        before_wait: Callable[[], None],
     ) -> Answer:
         remaining = request.deadline - self._clock.monotonic()
         if scope.cancelled or remaining <= timedelta():
@@ -263,7 +276,9 @@
         # is gone, so that its outcome is known.
         kept = CallScope(scope.context, scope.deadline)
         stoppable = scope if request.repeatable else kept
-        return exchange(target.pool, request, headers, stoppable, remaining, end)
+        return exchange(
+            target.pool, request, headers, stoppable, remaining, end, before_wait
+        )
 
     def _make_headers(
         self, request: Request, scope: CallScope, dispatch: str, remaining: timedelta
--- a/src/cyclamenvane/node/front.py
+++ b/src/cyclamenvane/node/front.py
@@ -13,6 +13,7 @@
 import threading
 import uuid
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -62,6 +63,28 @@
     return name
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    environ: Environ
+    service: str
+    path: str
+    book: ServiceBook
+    upload: Pipe | None
+    began: timedelta
+
+    @property
+    def method(self) -> str:
+        return self.environ["REQUEST_METHOD"]
+
+    @property
+    def request_id(self) -> str:
+        return self.environ.get(REQUEST_ID_HEADER, "")[:_MOST_NAME_CHARS]
+
+    @property
+    def deadline(self) -> timedelta:
+        return self.began + self.book.deadline
+
+
 class _Watch:
     """Cancels the calls whose callers have gone."""
 
@@ -131,86 +154,67 @@
         service, path = _find_service(environ)
         if not service:
             return refuse_call(Refusal.BAD_REQUEST, "it names no service")
-        began = self._clock.monotonic()
-        book = self._rulebook().find(service)
+        arrival = _Arrival(
+            environ,
+            service,
+            path,
+            self._rulebook().find(service),
+            upload,
+            self._clock.monotonic(),
+        )
         inherited = open_token(environ.get(_CONTEXT_KEY, ""), self._node_key)
         if inherited is None:
-            return self._enter(environ, service, path, book, upload, began)
-        return self._continue(environ, service, path, book, upload, inherited, began)
+            return self._enter(arrival)
+        return self._continue(arrival, inherited)
 
-    def _enter(
-        self,
-        environ: Environ,
-        service: str,
-        path: str,
-        book: ServiceBook,
-        upload: Pipe | None,
-        began: timedelta,
-    ) -> Answer:
-        caller = check_credential(find_bearer(environ), self._caller_key)
+    def _enter(self, arrival: _Arrival) -> Answer:
+        caller = check_credential(find_bearer(arrival.environ), self._caller_key)
         if caller is None:
             return refuse_call(Refusal.UNAUTHENTICATED)
-        decision = book.decide(caller, environ["REQUEST_METHOD"], path)
-        request_id = environ.get(REQUEST_ID_HEADER, "")[:_MOST_NAME_CHARS]
+        decision = arrival.book.decide(caller, arrival.method, arrival.path)
         # A service that passes no context on would multiply attempts.
         is_service = bool(self._router.directory.find(caller))
         context = CallContext(
-            root=request_id or uuid.uuid4().hex,
+            root=arrival.request_id or uuid.uuid4().hex,
             caller=caller,
             importance=decision.importance,
             depth=0,
-            allowance=0 if is_service else book.extra_attempts,
+            allowance=0 if is_service else arrival.book.extra_attempts,
         )
-        scope = CallScope(context, began + book.deadline)
-        return self._call(environ, service, path, book, upload, scope, began)
+        return self._call(arrival, CallScope(context, arrival.deadline))
 
-    def _continue(
-        self,
-        environ: Environ,
-        service: str,
-        path: str,
-        book: ServiceBook,
-        upload: Pipe | None,
-        context: CallContext,
-        began: timedelta,
-    ) -> Answer:
+    def _continue(self, arrival: _Arrival, context: CallContext) -> Answer:
         parent = self._execution.find_scope(context.dispatch)
         if parent is None and self._execution.owns(context.dispatch):
             # Its call has ended, so nobody waits for what it would do.
             return refuse_call(Refusal.CANCELLED, "its own call has ended")
         if parent is None:
             # Dispatched on another VM, where its allowance is kept.
-            parent = CallScope(_inherit(context, 0), began + book.deadline)
-        scope = parent.fork(began + book.deadline)
+            parent = CallScope(_inherit(context, 0), arrival.deadline)
+        scope = parent.fork(arrival.deadline)
         scope.context = _inherit(context, scope.context.allowance)
         try:
-            return self._call(environ, service, path, book, upload, scope, began)
+            return self._call(arrival, scope)
         finally:
-            parent.join(scope, self._clock.monotonic() - began)
+            parent.join(scope, self._clock.monotonic() - arrival.began)
 
-    def _call(
-        self,
-        environ: Environ,
-        service: str,
-        path: str,
-        book: ServiceBook,
-        upload: Pipe | None,
-        scope: CallScope,
-        began: timedelta,
-    ) -> Answer:
-        request = _build_request(environ, service, path, book, upload, scope)
+    def _call(self, arrival: _Arrival, scope: CallScope) -> Answer:
+        request = _build_request(arrival, scope)
         if isinstance(request, Refusal):
             return refuse_call(request)
+        upload = arrival.upload
         if upload is not None and not self._uploads.acquire(blocking=False):
             return refuse_call(Refusal.OVERLOAD, "too many uploads are under way")
-        self.watch.add(environ.get("waitress.client_disconnected"), scope)
+        is_gone = arrival.environ.get("waitress.client_disconnected")
+        self.watch.add(is_gone, scope)
         try:
-            answer = self._route(request, path, scope)
+            answer = self._route(request, arrival.path, scope)
         finally:
             self.watch.remove(scope)
             if upload is not None:
                 self._uploads.release()
-        self._metrics.count(request, answer, self._clock.monotonic() - began)
+        took = self._clock.monotonic() - arrival.began
+        self._metrics.count(request, answer, took)
         return answer
 
     def _route(self, request: Request, path: str, scope: CallScope) -> Answer:
@@ -248,37 +252,27 @@
     return first, f"/{rest}{tail}"
 
 
-def _build_request(
-    environ: Environ,
-    service: str,
-    path: str,
-    book: ServiceBook,
-    upload: Pipe | None,
-    scope: CallScope,
-) -> Request | Refusal:
-    method = environ["REQUEST_METHOD"]
-    decision = book.decide(scope.context.caller, method, path)
-    key = environ.get(_KEY_HEADER, "")
+def _build_request(arrival: _Arrival, scope: CallScope) -> Request | Refusal:
+    book, upload = arrival.book, arrival.upload
+    decision = book.decide(scope.context.caller, arrival.method, arrival.path)
+    key = arrival.environ.get(_KEY_HEADER, "")
     if decision.keyed and not key:
         return Refusal.KEY_REQUIRED
     if len(key) > _MOST_NAME_CHARS:
         return Refusal.BAD_REQUEST
-    body: bytes | Pipe = upload if upload is not None else environ["wsgi.input"].read()
-    length = (upload.length or 0) if upload is not None else len(body)
+    body: bytes | Pipe = upload or arrival.environ["wsgi.input"].read()
+    length = (body.length or 0) if isinstance(body, Pipe) else len(body)
     if length > book.body_limit_bytes:
         return Refusal.BODY_TOO_LARGE
-    named = scope.context.depth == 0
     return Request(
-        service=service,
-        method=method,
-        path=path,
-        headers=collect_headers(environ),
+        service=arrival.service,
+        method=arrival.method,
+        path=arrival.path,
+        headers=collect_headers(arrival.environ),
         body=body,
         context=scope.context,
         deadline=scope.deadline,
-        request_id=(
-            environ.get(REQUEST_ID_HEADER, "")[:_MOST_NAME_CHARS] if named else ""
-        ),
+        request_id="" if scope.context.depth else arrival.request_id,
         key="" if decision.repeatable else key,
         repeatable=decision.repeatable,
     )
--- a/src/cyclamenvane/node/node.py
+++ b/src/cyclamenvane/node/node.py
@@ -463,7 +463,7 @@
         box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
         child = CallScope(_grant(request.context, granted), request.deadline)
         forget = scope.on_cancel(child.cancel)
-        self.execution.serve(request, child, box.put, inline=True)
+        self.execution.serve(request, child, box.put)
         answer = box.get()
         forget()
         return answer
@@ -480,7 +480,9 @@
         request = self._build_request(peer, call, context)
         scope = CallScope(request.context, request.deadline)
         call.on_cancel(scope.cancel)
-        self.execution.serve(request, scope, call.reply, inline=True)
+        self.execution.serve(
+            request, scope, call.reply, before_wait=call.pass_reading_on
+        )
 
     def _build_request(
         self, peer: Peer, call: IncomingCall, context: CallContext | None
--- a/src/cyclamenvane/settings/model.py
+++ b/src/cyclamenvane/settings/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
-from .check import Between, OneOf, Pattern
+from .check import Between, Pattern
 
 __all__ = [
     "Address",
@@ -101,7 +101,6 @@
     """Where the JSON log lines go; `-` is standard error."""
 
     path: str = "-"
-    calls: Annotated[str, OneOf(("none", "refused", "all"))] = "none"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cyclamenvane/wire/server.py
+++ b/src/cyclamenvane/wire/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -37,7 +38,17 @@
 class IncomingCall:
     """A request that arrived on a stream, and the way back for its answer."""
 
-    __slots__ = ("_cancel", "_on_settled", "_stream", "body", "cancelled", "frame")
+    __slots__ = (
+        "_cancel",
+        "_on_settled",
+        "_pass_on",
+        "_reader",
+        "_stream",
+        "body",
+        "cancelled",
+        "frame",
+        "passed_on",
+    )
 
     def __init__(
         self,
@@ -45,6 +56,7 @@
         body: bytes | Pipe,
         stream: Stream,
         on_settled: Callable[[int], None],
+        pass_on: Callable[[], object],
     ) -> None:
         self.frame = frame
         self.body = body
@@ -52,6 +64,15 @@
         self._stream = stream
         self._cancel: Callable[[], None] | None = None
         self._on_settled = on_settled
+        self._pass_on = pass_on
+        self._reader = threading.get_ident()
+        self.passed_on = False
+
+    def pass_reading_on(self) -> None:
+        """Let another thread read the stream: this one is about to wait."""
+        if not self.passed_on and threading.get_ident() == self._reader:
+            self.passed_on = True
+            self._pass_on()
 
     def on_cancel(self, cancel: Callable[[], None]) -> None:
         """Register what stops the work; called at once if cancelled already."""
@@ -71,6 +92,7 @@
         if isinstance(answer.body, bytes) and len(answer.body) <= CHUNK_BYTES:
             self._stream.send(_answer_frame(self.frame.call, answer, answer.body))
             return
+        self.pass_reading_on()
         length = _body_length(answer.body)
         self._stream.open_body(self.frame.call)
         self._stream.send(_answer_frame(self.frame.call, answer, b"", length))
@@ -149,15 +171,12 @@
         self._read(_Reading(stream, accepted.ok))
 
     def _read(self, reading: _Reading) -> None:
-        # The thread that reads a request serves it, and another one takes over
-        # the reading, so the request does not wait for a thread to wake up.
+        # The thread that reads a request serves it. Before it waits for the
+        # target, another one takes over the reading.
         stream = reading.stream
         for frame in reading.frames:
             if isinstance(frame, RequestFrame):
-                call = self._begin(reading, frame)
-                if call is not None:
-                    self._executor.submit(self._read, reading)
-                    self._serve_call(reading.peer, call)
+                if self._serve(reading, frame):
                     return
             elif isinstance(frame, CancelFrame):
                 stream.drop_body(frame.call)
@@ -168,6 +187,14 @@
         for call in list(reading.calls.values()):
             _cancel(call)
 
+    def _serve(self, reading: _Reading, frame: RequestFrame) -> bool:
+        """Serve a request; return whether another thread reads by now."""
+        call = self._begin(reading, frame)
+        if call is None:
+            return False
+        self._serve_call(reading.peer, call)
+        return call.passed_on
+
     def _begin(self, reading: _Reading, frame: RequestFrame) -> IncomingCall | None:
         calls = reading.calls
         if frame.call in calls:
@@ -176,7 +203,11 @@
         if frame.more:
             body = reading.stream.receive_body(frame.call, frame.body, frame.length)
         call = IncomingCall(
-            frame, body, reading.stream, lambda number: calls.pop(number, None)
+            frame,
+            body,
+            reading.stream,
+            on_settled=lambda number: calls.pop(number, None),
+            pass_on=lambda: self._executor.submit(self._read, reading),
         )
         calls[frame.call] = call
         return call
