Free the slots of answers that nobody reads, and let named sends converge

Cause: a large answer whose caller had gone kept its target's slot for good: no side told the other. A caller that stopped reading kept it too. A fresh ticket could be bound again to the target that had just declined. With two equally loaded targets the first always won. Targets without room were left out before names were hashed, so a third target took sends of one name.

Change: a body that is closed unread cancels its call; a connection whose caller reads nothing for 10 s is closed; targets that declined are left out; ties are drawn; a name draws its two targets first. Series are kept for known services only.

--- a/src/cyclamenvane/caller/caller.py
+++ b/src/cyclamenvane/caller/caller.py
@@ -147,7 +147,7 @@
         that the document names as non-idempotent gets a ticket of its own when
         no `key` is given.
         """
-        scope = scope or self.open_scope(service, token)
+        scope = scope or self.open_scope(service, token, f"{method} {path}")
         request = self._build(service, method, path, headers, body, key, scope)
         if request.repeatable:
             return self._router.call(request, scope, token)
@@ -159,20 +159,30 @@
             return routed(request, scope, token)
         return self._call_with_tickets(request, scope, token)
 
-    def open_scope(self, service: str, token: str = "") -> CallScope:
-        """Return the scope for the requests made on behalf of one call."""
+    def open_scope(
+        self, service: str, token: str = "", request: str = "GET /"
+    ) -> CallScope:
+        """Return the scope for the requests made on behalf of one call.
+
+        `request` is the method and path that give a new root its importance.
+        """
+        method, _, path = request.partition(" ")
         book = self._rulebook.find(service)
         context = read_context(token) if token else None
         if context is None:
             context = CallContext(
                 uuid.uuid4().hex,
                 self._settings.name,
-                book.decide(self._settings.name, "", "").importance,
+                book.decide(self._settings.name, method, path).importance,
                 0,
                 book.extra_attempts,
             )
         return CallScope(context, self._clock.monotonic() + book.deadline)
 
+    def holds(self, team: str, version: int) -> bool:
+        """Whether a team's section is known in a version or a newer one."""
+        return self._sections.versions().get(team, 0) >= version
+
     def refresh(self) -> bool:
         """Ask a node for members and sections once; False when none answered."""
         client = self._reach_any()
@@ -193,8 +203,9 @@
         self, request: Request, scope: CallScope, token: str
     ) -> Answer:
         answer = refuse_call(Refusal.NO_TARGET)
+        declined: tuple[Ticket, ...] = ()
         for _ in range(_FRESH_TICKETS):
-            ticket = self._keyed.mint(request)
+            ticket = self._keyed.mint(request, declined)
             if isinstance(ticket, Refusal):
                 return refuse_call(ticket)
             answer = self._keyed.call(_with_key(request, ticket), scope, token)
@@ -202,6 +213,7 @@
             # request itself was not run, so it may go out under another.
             if answer.refusal is not Refusal.LEAVING:
                 return answer
+            declined += (ticket,)
         return answer
 
     def _build(
--- a/src/cyclamenvane/calls/body.py
+++ b/src/cyclamenvane/calls/body.py
@@ -44,12 +44,14 @@
         capacity: int = PIPE_BYTES,
         on_begin: Callable[[], None] = lambda: None,
         on_read: Callable[[], None] = lambda: None,
+        on_close: Callable[[], None] = lambda: None,
     ) -> None:
         self.length = length
         self.capacity = capacity
         self.touched = False
         self._on_begin = on_begin
         self._on_read = on_read
+        self._on_close = on_close
         self._chunks: deque[bytes] = deque()
         self._held = 0
         self._ended = False
@@ -105,6 +107,14 @@
                 self._held = 0
             self._changed.notify_all()
 
+    def close(self) -> None:
+        """Give up what has not been read; the writer is told to stop."""
+        with self._changed:
+            unread = not self._ended or bool(self._chunks)
+        if unread and not self._failure:
+            self.fail("the reader went away")
+            self._on_close()
+
     def __iter__(self) -> Iterator[bytes]:
         """Yield chunks until the end; raises BodyFailed for a short body."""
         self.touched = True
--- a/src/cyclamenvane/node/channel.py
+++ b/src/cyclamenvane/node/channel.py
@@ -34,6 +34,7 @@
 
 UPLOAD_KEY = "cyclamenvane.upload"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_STALL = timedelta(seconds=10)
 _LINGER = timedelta(milliseconds=200)
 _MILLISECOND = timedelta(milliseconds=1)
 _HELD = threading.local()
@@ -266,6 +267,14 @@
         self.linger = linger
         super().__init__(*args, **kwargs)
 
+    def maintenance(self, now: float) -> None:
+        """Close connections that are idle, or whose caller has stopped reading."""
+        super().maintenance(now)
+        oldest = now - _STALL.total_seconds()
+        for channel in list(self.active_channels.values()):
+            if channel.total_outbufs_len and channel.last_activity < oldest:
+                channel.will_close = True
+
     def dispatch(self, channel: _Channel) -> None:
         """Give a connection over to a thread."""
         self.task_dispatcher.dispatch(channel)
--- a/src/cyclamenvane/node/front.py
+++ b/src/cyclamenvane/node/front.py
@@ -49,6 +49,7 @@
 _CONTEXT_KEY = "HTTP_" + CONTEXT_HEADER.upper().replace("-", "_")
 _KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 _MOST_NAME_CHARS = 128
+_UNKNOWN_SERVICE = "unknown"
 _WATCH_EVERY = timedelta(milliseconds=50)
 
 Environ = dict[str, Any]
@@ -214,9 +215,14 @@
             if upload is not None:
                 self._uploads.release()
         took = self._clock.monotonic() - arrival.began
-        self._metrics.count(request, answer, took)
+        self._metrics.count(self._label(arrival), request, answer, took)
         return answer
 
+    def _label(self, arrival: _Arrival) -> str:
+        # Callers may name any service; only known ones get series of their own.
+        known = arrival.book.team or self._router.directory.find(arrival.service)
+        return arrival.service if known else _UNKNOWN_SERVICE
+
     def _route(self, request: Request, path: str, scope: CallScope) -> Answer:
         if path == TICKET_PATH:
             return self._give_ticket(request)
--- a/src/cyclamenvane/node/listener.py
+++ b/src/cyclamenvane/node/listener.py
@@ -25,6 +25,7 @@
 
 _BACKLOG = 1024
 _POLL = timedelta(seconds=1)
+_MAINTENANCE = timedelta(seconds=5)
 _IDLE_CONNECTION = timedelta(seconds=120)
 _MOST_HEADER_BYTES = 64 * 1024
 _NEVER_TO_DISK = 1 << 40
@@ -104,6 +105,7 @@
         connection_limit=connections,
         channel_request_lookahead=1,
         channel_timeout=int(_IDLE_CONNECTION.total_seconds()),
+        cleanup_interval=int(_MAINTENANCE.total_seconds()),
         recv_bytes=CHUNK_BYTES,
         max_request_header_size=_MOST_HEADER_BYTES,
         max_request_body_size=_NEVER_TO_DISK,
--- a/src/cyclamenvane/node/metric.py
+++ b/src/cyclamenvane/node/metric.py
@@ -49,10 +49,12 @@
         }
         self._children: dict[tuple, tuple] = {}
 
-    def count(self, request: Request, answer: Answer, took: timedelta) -> None:
-        """Count one call and how long it took."""
+    def count(
+        self, service: str, request: Request, answer: Answer, took: timedelta
+    ) -> None:
+        """Count one call to a service and how long it took."""
         key = (
-            request.service,
+            service,
             request.context.importance,
             answer.outcome,
             answer.refusal,
--- a/src/cyclamenvane/routing/choice.py
+++ b/src/cyclamenvane/routing/choice.py
@@ -2,9 +2,9 @@
 
 Targets of the own availability zone come first; others are used when none of
 those takes calls of this rank. Of the targets that are left, two are drawn and
-the one with the shorter expected delay is taken. A request with a name is drawn
-by rendezvous hashing, so that its re-sends meet at the same two nodes wherever
-they enter.
+the one with the shorter expected delay is taken. For a request with a name the
+two are its own by rendezvous hashing, whether they take calls or not, so that its
+re-sends meet at the same two targets of each zone wherever they enter.
 
 Ejected targets are passed over, but never more than half of a group: when most
 of them fail, it is not the targets' fault alone and all are tried.
@@ -88,10 +88,10 @@
         with self._lock:
             if rank >= self._route_level(service, route, now):
                 return Refusal.OVERLOAD
-            taking = self._keep_taking(endpoints, rank, now)
+            taking = self._keep_taking(endpoints, rank, name, now)
             if not taking:
                 return Refusal.OVERLOAD
-            chosen = self._pick(taking, name, now)
+            chosen = self._pick(taking, now)
             self._track(chosen, now).in_flight += 1
             return chosen
 
@@ -146,19 +146,21 @@
             self._on_eject(endpoint)
 
     def _keep_taking(
-        self, endpoints: list[Endpoint], rank: int, now: timedelta
+        self, endpoints: list[Endpoint], rank: int, name: str, now: timedelta
     ) -> list[Endpoint]:
         near = [each for each in endpoints if each.member.zone == self._zone]
         far = [each for each in endpoints if each.member.zone != self._zone]
+        admitting: list[Endpoint] = []
         for group in (near, far):
-            taking = [
-                each
-                for each in self._keep_sound(group, now)
-                if rank < self._track(each, now).level(now) and self._has_room(each)
-            ]
-            if taking:
-                return taking
-        return [e for e in endpoints if rank < self._track(e, now).level(now)]
+            drawn = self._keep_sound(group, now)
+            if name:
+                drawn = rank_rendezvous(name, drawn, 2)
+            taking = [e for e in drawn if rank < self._track(e, now).level(now)]
+            with_room = [each for each in taking if self._has_room(each)]
+            if with_room:
+                return with_room
+            admitting += taking
+        return admitting
 
     def _keep_sound(self, group: list[Endpoint], now: timedelta) -> list[Endpoint]:
         sound = [e for e in group if self._track(e, now).ejected_until <= now]
@@ -167,14 +169,10 @@
     def _has_room(self, endpoint: Endpoint) -> bool:
         return self._tracks[endpoint.name].in_flight < max(1, endpoint.target.slots)
 
-    def _pick(self, taking: list[Endpoint], name: str, now: timedelta) -> Endpoint:
-        if len(taking) > 2:
-            if name:
-                taking = rank_rendezvous(name, taking, 2)
-            else:
-                taking = self._random.sample(taking, 2)
-        fastest = min(self._tracks[each.name].delay for each in taking)
-        return min(taking, key=lambda each: self._expect_delay(each, fastest, now))
+    def _pick(self, taking: list[Endpoint], now: timedelta) -> Endpoint:
+        pair = self._random.sample(taking, min(2, len(taking)))
+        fastest = min(self._tracks[each.name].delay for each in pair)
+        return min(pair, key=lambda each: self._expect_delay(each, fastest, now))
 
     def _expect_delay(
         self, endpoint: Endpoint, fastest: timedelta, now: timedelta
--- a/src/cyclamenvane/routing/keyed.py
+++ b/src/cyclamenvane/routing/keyed.py
@@ -99,9 +99,15 @@
             return self._follow(ticket, request, scope, token)
         return self._call_claimed(request, scope, token)
 
-    def mint(self, request: Request) -> Ticket | Refusal:
-        """Return a ticket for a request, bound to the target chosen for it."""
-        endpoint = self.router.choose_target(request)
+    def mint(
+        self, request: Request, declined: tuple[Ticket, ...] = ()
+    ) -> Ticket | Refusal:
+        """Return a ticket for a request, bound to the target chosen for it.
+
+        `declined` holds tickets whose targets have declined the request.
+        """
+        without = self._name_targets(request, declined)
+        endpoint = self.router.choose_target(request, without)
         if isinstance(endpoint, Refusal):
             return endpoint
         self.router.chooser.release(endpoint)
@@ -111,13 +117,15 @@
         claim = self._bind(request)
         if isinstance(claim, Answer):
             return claim
+        declined: tuple[Ticket, ...] = ()
         for _ in range(_MOST_MOVES):
             if claim.ticket is None:
                 return refuse_call(Refusal.OVERLOAD, "the key was given up unrun")
             answer = self._follow(claim.ticket, request, scope, token)
             if answer.refusal is not Refusal.LEAVING:
                 return answer
-            moved = self._move(claim, request)
+            declined += (claim.ticket,)
+            moved = self._move(claim, request, declined)
             if moved is None:
                 return report_unbound(Refusal.LEAVING)
             claim = moved
@@ -143,8 +151,11 @@
             return refuse_none(refusal)
         return report_unbound(refusal)
 
-    def _move(self, claim: Claim, request: Request) -> Claim | None:
-        endpoint = self.router.choose_target(request)
+    def _move(
+        self, claim: Claim, request: Request, declined: tuple[Ticket, ...]
+    ) -> Claim | None:
+        without = self._name_targets(request, declined)
+        endpoint = self.router.choose_target(request, without)
         if isinstance(endpoint, Refusal):
             return None
         self.router.chooser.release(endpoint)
@@ -192,6 +203,17 @@
             return report_unbound(Refusal.UNREACHED)
         return answer
 
+    def _name_targets(
+        self, request: Request, declined: tuple[Ticket, ...]
+    ) -> frozenset[tuple[str, str]]:
+        names = set()
+        for ticket in declined:
+            member = self.router.directory.find_session(ticket.session)
+            endpoint = member and _find_endpoint(member, request.service)
+            if endpoint:
+                names.add(endpoint.name)
+        return frozenset(names)
+
     def _mint_for(self, endpoint: Endpoint) -> Ticket | None:
         epoch = self.epoch_of(endpoint.member)
         return None if epoch is None else mint_ticket(endpoint.member.session, epoch)
--- a/src/cyclamenvane/routing/router.py
+++ b/src/cyclamenvane/routing/router.py
@@ -88,6 +88,8 @@
             answer = self.send(endpoint, request, scope, token)
             if not self._may_go_on(request, answer, scope):
                 return answer
+            if not isinstance(answer.body, bytes):
+                answer.body.close()
             without |= {endpoint.name}
             last = answer
             if answer.refusal not in _NOT_HANDED_OVER:
@@ -95,9 +97,14 @@
                 self._back_off(attempt, request)
                 attempt += 1
 
-    def choose_target(self, request: Request) -> Endpoint | Refusal:
-        """Return the target for a request, counted as under way, or why none."""
-        return self._choose(request, frozenset())
+    def choose_target(
+        self, request: Request, without: frozenset[tuple[str, str]] = frozenset()
+    ) -> Endpoint | Refusal:
+        """Return the target for a request, counted as under way, or why none.
+
+        `without` holds the names of targets that have declined it.
+        """
+        return self._choose(request, without)
 
     def send(
         self, endpoint: Endpoint, request: Request, scope: CallScope, token: str
--- a/src/cyclamenvane/wire/client.py
+++ b/src/cyclamenvane/wire/client.py
@@ -165,7 +165,12 @@
             return None
         if not frame.more:
             return ReceivedAnswer(frame, frame.body)
-        pipe = self._stream.receive_body(frame.call, frame.body, frame.length)
+        pipe = self._stream.receive_body(
+            frame.call,
+            frame.body,
+            frame.length,
+            on_close=lambda: self.cancel(frame.call),
+        )
         return ReceivedAnswer(frame, pipe)
 
     def _settle(self, number: int, answer: ReceivedAnswer | ReplyFrame | None) -> None:
--- a/src/cyclamenvane/wire/server.py
+++ b/src/cyclamenvane/wire/server.py
@@ -97,6 +97,9 @@
         self._stream.open_body(self.frame.call)
         self._stream.send(_answer_frame(self.frame.call, answer, b"", length))
         self._stream.send_body(self.frame.call, _chunks(answer.body))
+        if not isinstance(answer.body, bytes):
+            # Frees the target's slot even when nothing was read of it.
+            answer.body.close()
 
 
 class _Reading:
--- a/src/cyclamenvane/wire/stream.py
+++ b/src/cyclamenvane/wire/stream.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -128,12 +128,19 @@
         for credit in list(self._credits.values()):
             credit.drop()
 
-    def receive_body(self, call: int, first: bytes, length: int) -> Pipe:
+    def receive_body(
+        self,
+        call: int,
+        first: bytes,
+        length: int,
+        on_close: Callable[[], None] = lambda: None,
+    ) -> Pipe:
         """Return the pipe that the chunks of a call will fill."""
         pipe = Pipe(
             length if length >= 0 else None,
             on_begin=lambda: self._return_credit(call, _PIPE_CHUNKS),
             on_read=lambda: self._return_credit(call, 1),
+            on_close=on_close,
         )
         pipe.offer(first)
         self._pipes[call] = pipe
--- /dev/null
+++ b/tests/caller/test_caller.py
@@ -0,0 +1,85 @@
+"""The embedded caller against real nodes."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from harness import KEYS, Cluster, wait_until
+
+from cyclamenvane import Caller, CallerSettings, Outcome, SystemClock
+from cyclamenvane.calls import CallContext, Importance, sign_context
+from cyclamenvane.wire import derive_credential
+
+SECTION = """\
+[teams.desk.services.booking]
+non_idempotent = ["POST /bookings/*"]
+"""
+
+
+@pytest.fixture
+def desk(cluster: Cluster) -> Cluster:
+    for zone in ("z1", "z2"):
+        cluster.add_target(cluster.add_node(zone), "booking")
+    assert cluster.accept(cluster.nodes[0], "desk", SECTION).status == 200
+    cluster.settle("booking", 2)
+    return cluster
+
+
+@pytest.fixture
+def caller(desk: Cluster):
+    secret = derive_credential(KEYS.callers.encode(), "dispatch").decode()
+    names = tuple(node.view.own.name for node in desk.nodes)
+    pool = ThreadPoolExecutor(16)
+    made = Caller(CallerSettings("dispatch", secret, "z1", names), SystemClock(), pool)
+    assert made.start()
+    yield made
+    made.stop()
+    pool.shutdown(wait=False, cancel_futures=True)
+
+
+def test_answer_is_whole_and_comes_from_the_own_zone(desk, caller) -> None:
+    for number in range(5):
+        answer = caller.call("booking", "GET", f"/echo/{number}")
+        assert answer.body == f"/echo/{number}\n".encode()
+    assert sum(desk.targets[0].runs.values()) == 5
+
+
+def test_booking_takes_a_ticket_by_itself(desk, caller) -> None:
+    answer = caller.call("booking", "POST", "/bookings/1", body=b"b")
+    assert (answer.status, answer.outcome) == (200, Outcome.DONE)
+    assert sum(target.runs["/bookings/1"] for target in desk.targets) == 1
+
+
+def test_booking_goes_elsewhere_when_its_target_leaves(desk, caller) -> None:
+    desk.nodes[0].targets.leave()
+    answer = caller.call("booking", "POST", "/bookings/2", body=b"b")
+    assert (answer.status, answer.outcome) == (200, Outcome.DONE)
+    assert desk.targets[1].runs["/bookings/2"] == 1
+
+
+def test_forged_context_gives_no_importance(desk, caller) -> None:
+    context = CallContext("r", "crane-crews", Importance.CRITICAL, 1, 9)
+    token = sign_context(context, b"not the key of the nodes")
+    seen: list[str] = []
+    desk.targets[0].call_next = lambda headers: (
+        seen.append(headers["cyclamenvane-caller"]) or (200, b"")
+    )
+    assert caller.call("booking", "GET", "/x", token=token).status == 200
+    assert seen == ["dispatch"]
+
+
+def test_wrong_credential_opens_no_stream(desk) -> None:
+    names = (desk.nodes[0].view.own.name,)
+    pool = ThreadPoolExecutor(4)
+    settings = CallerSettings("dispatch", "0" * 32, "z1", names)
+    caller = Caller(settings, SystemClock(), pool)
+    assert not caller.refresh()
+    caller.stop()
+    pool.shutdown(wait=False)
+
+
+def test_caller_follows_accepted_sections(desk, caller) -> None:
+    text = SECTION + 'idempotent = ["POST /notes"]\n'
+    assert desk.accept(desk.nodes[1], "desk", text, base=1).status == 200
+    wait_until(lambda: caller.refresh() and caller.holds("desk", 2), "the section")
--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -67,7 +67,24 @@
     When a caller leaves while its request runs
     Then the slot is free at once
 
+  Scenario: A call that cannot finish in time is ended at its deadline
+    Given a "stock" target with 1 slot that takes 5 s
+    And a deadline of 300 ms for "stock"
+    When a foreman asks "stock" at node 2
+    Then the answer is "deadline"
+    And the slot is free at once
+
   Scenario: Several large uploads go through in bounded memory
     Given a "vault" target with 4 slots that takes 0 s
     When 4 uploads of 8 MB are sent at once
     Then all of them arrive whole
+
+  Scenario Outline: A large answer that nobody reads on frees its slot
+    Given a "vault" target with 2 slots that takes 0 s
+    When a caller at node <entry> gives up a large answer half-way
+    Then the slot is free at once
+
+    Examples:
+      | entry |
+      | 0     |
+      | 2     |
--- /dev/null
+++ b/tests/node/test_security.py
@@ -0,0 +1,71 @@
+"""What those get who prove nothing."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from harness import KEYS, Cluster, fetch
+
+from cyclamenvane.wire import encode_frame
+from cyclamenvane.wire.frame import AskFrame, HelloFrame, ProofFrame
+
+
+@pytest.fixture
+def node(cluster: Cluster):
+    return cluster.add_node("z1")
+
+
+def exchange(node, *frames: bytes) -> bytes:
+    with socket.create_connection(node.streams.address, 20) as sock:
+        received = b""
+        for frame in frames:
+            sock.sendall(frame)
+            received = sock.recv(4096)
+        return received
+
+
+def test_stream_without_a_handshake_is_closed_unanswered(node) -> None:
+    ask = AskFrame(1, "membership.sync", b"")
+    assert exchange(node, encode_frame(ask)) == b""
+
+
+def test_stream_with_a_wrong_proof_is_closed(node) -> None:
+    hello = HelloFrame("node", "somebody", b"n" * 16)
+    proof = ProofFrame(b"p" * 24)
+    assert exchange(node, encode_frame(hello), encode_frame(proof)) == b""
+
+
+def test_first_frames_are_bounded(node) -> None:
+    hello = HelloFrame("node", "x" * 100_000, b"n" * 16)
+    try:
+        assert exchange(node, encode_frame(hello)) == b""
+    except ConnectionResetError:
+        pass
+
+
+@pytest.mark.parametrize("path", ["/policy", "/status", "/audit", "/zones"])
+def test_operators_paths_are_closed_to_others(cluster, node, path) -> None:
+    for key in (KEYS.targets, KEYS.callers, ""):
+        assert cluster.control(node, "GET", path, key=key).status == 401
+
+
+def test_callers_port_has_no_operators_paths(cluster, node) -> None:
+    address = node.front_listener.address
+    headers = {"Authorization": f"Bearer {KEYS.operators}"}
+    assert fetch(address, "GET", "/policy", headers=headers).status == 401
+
+
+def test_bad_announcement_is_told_and_changes_nothing(cluster, node) -> None:
+    said = {"service": "stock", "address": "here", "slots": 0}
+    reply = cluster.control(node, "POST", "/targets", said, KEYS.targets)
+    assert reply.status == 400
+    assert b"address: got 'here'" in reply.body and b"slots: got 0" in reply.body
+    assert not node.targets.all()
+
+
+def test_malformed_request_leaves_the_node_alive(cluster, node) -> None:
+    with socket.create_connection(node.front_listener.address, 20) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nContent-Length: many\r\n\r\n")
+        assert sock.recv(4096).startswith(b"HTTP/1.1 400")
+    assert cluster.call(node, "GET", "/stock/x").reason == "no-target"
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,64 @@
+"""The HTTP client of the platform against a stand-in with faults."""
+
+from __future__ import annotations
+
+import threading
+from datetime import timedelta
+
+import pytest
+
+from cyclamenvane.platform import Failure, Write
+from cyclamenvane.platform.http import HttpPlatform
+from cyclamenvane.settings import split_address
+from cyclamenvane.standins import PlatformStandIn
+
+TIMEOUT = timedelta(seconds=10)
+
+
+@pytest.fixture
+def standin():
+    made = PlatformStandIn()
+    threading.Thread(target=made.run, daemon=True).start()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def platform(standin: PlatformStandIn) -> HttpPlatform:
+    return HttpPlatform(split_address(standin.address), TIMEOUT)
+
+
+def test_rows_are_written_on_their_condition_only(platform: HttpPlatform) -> None:
+    table = platform.table
+    assert table.get("a").ok is None
+    assert table.commit([Write("a", b"1", 0), Write("b", b"1", 0)]).is_ok()
+    conflict = table.commit([Write("a", b"2", 1), Write("b", b"2", 0)])
+    assert conflict.error.failure is Failure.CONFLICT
+    assert table.get("a").ok.value == b"1", "half of a transaction took effect"
+    assert [row.key for row in table.scan("", 10).ok] == ["a", "b"]
+    assert table.commit([Write("a", None, 1)]).is_ok()
+    assert table.get("a").ok is None
+
+
+def test_objects_are_kept_whole(platform: HttpPlatform) -> None:
+    objects = platform.objects
+    assert objects.put("x/1", b"one").is_ok() and objects.put("y", b"").is_ok()
+    assert objects.get("x/1").ok == b"one" and objects.get("x/2").ok is None
+    assert objects.names("x/").ok == ("x/1",)
+
+
+def test_lost_answer_is_unknown_and_took_effect(platform, standin) -> None:
+    standin.lose_answers = 1
+    lost = platform.table.commit([Write("a", b"1", 0)])
+    assert lost.error.failure is Failure.UNKNOWN
+    assert platform.table.get("a").ok.value == b"1"
+
+
+def test_refused_connection_had_no_effect() -> None:
+    platform = HttpPlatform(("127.0.0.1", 1), TIMEOUT)
+    assert platform.table.get("a").error.failure is Failure.UNAVAILABLE
+
+
+def test_failing_platform_is_told(platform, standin) -> None:
+    standin.down = True
+    assert platform.table.get("a").error.failure is Failure.UNKNOWN
