Raise admission levels more slowly under a lasting overload

Cause: while an overload lasted, the level rose over all low ranks within half a second after each cut, and calls were let in above only to be refused below.

Change: each step is one and a half times the one before instead of twice, and the shortest queue of a target is two calls instead of four.

--- a/src/cyclamenvane/admission/gate.py
+++ b/src/cyclamenvane/admission/gate.py
@@ -26,7 +26,7 @@
 
 ADMITTED = "admitted"
 QUEUED = "queued"
-_SHORTEST_QUEUE = 4
+_SHORTEST_QUEUE = 2
 _CRITICAL_FACTOR = 8
 
 
--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -3,8 +3,8 @@
 Calls whose rank is at or above the level are refused on arrival. The level is
 set anew at the end of each window. After a window in which calls waited too
 long it is lowered to the rank below which somewhat fewer calls arrived than
-were admitted. After any other window it rises, by twice as much as after the one
-before: in small steps while the overload lasts, and to the top soon after it.
+were admitted. After any other window it rises, by half as much again as after
+the one before: in small steps while the overload lasts, and to the top soon after it.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 
 
 _MOST_STEPS = 16
+_STEP_GROWTH = 1.5
 _LEAST_STARTED = 8
 _LONGEST_WINDOWS = 10
 
@@ -44,14 +45,14 @@
     wait=timedelta(milliseconds=10),
     wait_share=1.0,
     cut=0.10,
-    rise=4,
+    rise=3,
 )
 GOODPUT = LevelTuning(
     window=timedelta(milliseconds=200),
     wait=timedelta(milliseconds=40),
     wait_share=2.0,
     cut=0.05,
-    rise=2,
+    rise=3,
 )
 
 
@@ -66,7 +67,7 @@
         self._started = 0
         self._waited = timedelta()
         self._overflowed = False
-        self._step = tuning.rise
+        self._step = float(tuning.rise)
 
     def admits(self, rank: int) -> bool:
         """Whether a call of that rank is taken at present."""
@@ -99,7 +100,7 @@
             return
         if self._is_overloaded(took):
             self._lower()
-            self._step = self._tuning.rise
+            self._step = float(self._tuning.rise)
         else:
             self._raise(windows)
         self._reset(now)
@@ -118,8 +119,8 @@
 
     def _raise(self, windows: int) -> None:
         for _ in range(min(windows, _MOST_STEPS)):
-            self.level = min(RANKS, self.level + self._step)
-            self._step = min(2 * self._step, RANKS)
+            self.level = min(RANKS, self.level + int(self._step))
+            self._step = min(_STEP_GROWTH * self._step, RANKS)
 
     def _lower(self) -> None:
         room = max(1, int(self._started * (1 - self._tuning.cut)))
