Serve calls that were let into the queue

The trace showed more: 15 critical calls that waited in the queue were refused when the level fell to 1, and a window was prolonged although the overload was over.

Change: what waits is served or expires and is not refused by a later level; a free slot and an empty queue end an overload at once.

--- a/src/cyclamenvane/admission/gate.py
+++ b/src/cyclamenvane/admission/gate.py
@@ -179,9 +179,6 @@
             if self._in_flight >= self._limit.limit:
                 break
             waiting = self._queue.pop_first()
-            if waiting.rank >= self.level:
-                refused.append((waiting, Refusal.OVERLOAD))
-                continue
             self._start(now - waiting.arrived)
             started.append(waiting)
         return refused, started
@@ -192,7 +189,8 @@
 
     def _advance(self, now: timedelta) -> None:
         self._limit.advance(now)
-        self._level.advance(now, self._time.estimate(now))
+        has_room = not self._queue and self._in_flight < self._limit.limit
+        self._level.advance(now, self._time.estimate(now), has_room)
 
 
 def _refuse_all(refused: list[tuple[Waiting, Refusal]]) -> None:
--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -90,19 +90,22 @@
         """Note that a call was refused for want of room in the queue."""
         self._overflowed = True
 
-    def advance(self, now: timedelta, took: timedelta) -> None:
+    def advance(self, now: timedelta, took: timedelta, has_room: bool) -> None:
         """End the window when it is over, and move the level.
 
-        `took` is the time that a call takes at the target at present.
+        `took` is the time that a call takes at the target at present, `has_room`
+        says that a slot is free and nobody waits: any overload is over then.
         """
         windows = (now - self._began) // self._tuning.window
-        if not windows or self._knows_too_little(windows):
+        if not windows:
             return
-        if self._is_overloaded(took):
+        if has_room or not self._is_overloaded(took):
+            self._raise(windows)
+        elif self._knows_too_little(windows):
+            return
+        else:
             self._lower()
             self._step = float(self._tuning.rise)
-        else:
-            self._raise(windows)
         self._reset(now)
 
     def _knows_too_little(self, windows: int) -> bool:
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -124,9 +124,12 @@
     clock.advance(1)
     gate.sweep()
     assert gate.level < RANKS
+    served, waiting = 0, gate.state().waiting
     while gate.state().in_flight:
         clock.advance(0.05)
         gate.finish(timedelta(seconds=0.05), timedelta(seconds=0.05))
+        served += 1
+    assert served == 1 + waiting, "a call that had been let in was refused"
     for _ in range(20):
         clock.advance(0.1)
         gate.sweep()
