--- a/src/cyclamenvane/node/node.py
+++ b/src/cyclamenvane/node/node.py
@@ -9,8 +9,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import msgpack
-
 from ..audit import ActionLog
 from ..calls import (
     Answer,
@@ -24,18 +22,12 @@
 from ..effects import Archive, Ledger, pack_answer, parse_ticket
 from ..kernel import load_plugins
 from ..membership import (
-    ROW_RENEWAL,
     Gossip,
-    MalformedMember,
     Member,
     Standing,
     TargetRecord,
     View,
     bind_gossip,
-    pack_member,
-    read_rows,
-    unpack_member,
-    write_row,
 )
 from ..policy import (
     Rulebook,
@@ -67,6 +59,7 @@
 from .control import Control
 from .execution import Execution
 from .front import Front
+from .joining import Joining, pack_members, unpack_members
 from .listener import HttpListener
 from .metric import CallMetrics
 from .status import count_standings
@@ -90,11 +83,6 @@
 _POLL = timedelta(milliseconds=100)
 _SAVE = timedelta(seconds=1)
 _SAVE_ACTIONS = timedelta(seconds=10)
-_JOIN_RETRY = timedelta(seconds=1)
-_REJOIN = timedelta(seconds=30)
-_START_ALONE = timedelta(seconds=10)
-_SYNC_EVERY = timedelta(seconds=20)
-_ASK_TIMEOUT = timedelta(seconds=1)
 _LEAVE_SETTLE = timedelta(seconds=2)
 _MICROSECOND = timedelta(microseconds=1)
 
@@ -122,7 +110,6 @@
         self.ready = False
         self._stopped = threading.Event()
         self._rulebook = Rulebook()
-        self._synced_at: timedelta | None = None
         self._node_key = settings.keys.nodes.encode()
         self._caller_key = settings.keys.callers.encode()
         session = secrets.token_hex(_SESSION_BYTES)
@@ -151,7 +138,7 @@
             policy_digest=lambda: self.sections.digest,
             on_policy=lambda sender: self.spread.hear_digest(sender),
             on_notice=lambda *notice: self.spread.hear_notice(*notice),
-            on_view=self._compare_views,
+            on_view=lambda sender: self.joining.compare_views(sender),
         )
         self.peers = PeerPool(ROLE_NODE, name, self._node_key, clock, self.tasks)
         self.spread = Spread(
@@ -163,6 +150,17 @@
             clock,
             self.tasks,
         )
+        self.joining = Joining(
+            self.view,
+            self.peers,
+            self.spread,
+            self.platform.table,
+            tuple(split_address(each) for each in here.seeds),
+            self.actions,
+            clock,
+            self.tasks,
+            self._stopped,
+        )
         self.targets = LocalTargets(clock, self._tell_targets)
         self.execution = Execution(
             self.targets,
@@ -220,7 +218,7 @@
         self._repeat(_POLL, self.spread.poll)
         self._repeat(_SAVE, self.archive.save)
         self._repeat(_SAVE_ACTIONS, lambda: self.actions.save(self.platform.objects))
-        self.tasks.submit(self._join)
+        self.tasks.submit(self._run_joining)
 
     def stop(self, grace: timedelta | None = None) -> bool:
         """Leave: take no new work, let what is under way finish, then end.
@@ -334,74 +332,15 @@
 
         self.tasks.submit(run)
 
+    def _run_joining(self) -> None:
+        if self.joining.join():
+            self.ready = True
+            self.joining.keep_joined()
+
     def _beat(self) -> None:
         self.peers.beat()
         self.streams.beat()
 
-    def _join(self) -> None:
-        began = self.clock.monotonic()
-        while not self._learn_sections():
-            if self.clock.monotonic() - began >= _START_ALONE:
-                self.actions.note("start", self.view.own.name, "without sections")
-                break
-            if self._stopped.wait(_JOIN_RETRY.total_seconds()):
-                return
-        self.ready = True
-        self._keep_joined()
-
-    def _learn_sections(self) -> bool:
-        """Learn what is in force, from the platform or else from a peer."""
-        alone = self._contact_others()
-        return self.spread.load_all() or not alone
-
-    def _keep_joined(self) -> None:
-        renewed: timedelta | None = None
-        while not self._stopped.is_set():
-            now = self.clock.monotonic()
-            if renewed is None or now - renewed >= ROW_RENEWAL:
-                if write_row(self.platform.table, self.view.own).is_ok():
-                    renewed = now
-            if len(self.view.all()) == 1:
-                self._contact_others()
-            wait = _JOIN_RETRY if renewed is None else _REJOIN
-            self._stopped.wait(wait.total_seconds())
-
-    def _contact_others(self) -> bool:
-        """Learn of other nodes from rows and seeds; return True when alone."""
-        rows = read_rows(self.platform.table, "")
-        if rows.is_ok():
-            self.view.merge_all(rows.ok)
-        addresses = [split_address(each) for each in self.settings.node.seeds]
-        addresses += [(m.host, m.stream_port) for m in self.view.others()]
-        own = self.streams.address
-        for address in addresses:
-            if address != own and self._sync_with(address):
-                return False
-        return True
-
-    def _sync_with(self, address: tuple[str, int]) -> bool:
-        client = self.peers.connect(address)
-        if client is None:
-            return False
-        payload = msgpack.packb([pack_member(self.view.own)])
-        reply = client.ask("membership.sync", payload, _ASK_TIMEOUT)
-        if reply is None:
-            return False
-        members = _unpack_members(reply)
-        self.view.merge_all(members)
-        self._synced_at = self.clock.monotonic()
-        for member in members:
-            if (member.host, member.stream_port) == address:
-                return self.spread.compare(member)
-        return True
-
-    def _compare_views(self, sender: Member) -> None:
-        now = self.clock.monotonic()
-        if self._synced_at is not None and now - self._synced_at < _SYNC_EVERY:
-            return
-        self._synced_at = now
-        self.tasks.submit(self._sync_with, (sender.host, sender.stream_port))
-
     def _tell_targets(self, records: tuple[TargetRecord, ...]) -> None:
         self.targets.tune(self._rulebook)
         self.view.update_own(records)
@@ -447,8 +386,8 @@
             return self.ledger.epoch.to_bytes(8, "big")
         if topic == "membership.sync":
             if peer.role == ROLE_NODE:
-                self.view.merge_all(_unpack_members(payload))
-            return msgpack.packb([pack_member(each) for each in self.view.all()])
+                self.view.merge_all(unpack_members(payload))
+            return pack_members(self.view.all())
         if topic == "outcome":
             return self._answer_outcome(peer, payload)
         return self.spread.answer(topic, payload)
@@ -529,10 +468,3 @@
         allowance,
         context.dispatch,
     )
-
-
-def _unpack_members(data: bytes) -> tuple[Member, ...]:
-    try:
-        return tuple(unpack_member(v) for v in msgpack.unpackb(data, use_list=False))
-    except (ValueError, TypeError, MalformedMember, msgpack.UnpackException):
-        return ()
--- a/src/cyclamenvane/policy/rulebook.py
+++ b/src/cyclamenvane/policy/rulebook.py
@@ -91,16 +91,24 @@
     """Return the rules of the sections; one that does not parse is left out."""
     services: dict[str, ServiceBook] = {}
     for section in sections:
-        parsed = parse_document(section.text)
-        if parsed.is_error():
-            continue
-        for team, body in parsed.ok.teams.items():
-            for name, rules in body.services.items():
-                book = compile_service(name, team, body.objective, rules)
-                services.setdefault(name, book)
+        for book in _compile_text(section.text):
+            services.setdefault(book.name, book)
     return Rulebook(services.values())
 
 
+@lru_cache(maxsize=1024)
+def _compile_text(text: str) -> tuple[ServiceBook, ...]:
+    # Only the section that changed is read again.
+    parsed = parse_document(text)
+    if parsed.is_error():
+        return ()
+    return tuple(
+        compile_service(name, team, body.objective, rules)
+        for team, body in parsed.ok.teams.items()
+        for name, rules in body.services.items()
+    )
+
+
 def compile_service(
     name: str, team: str, objective: str, rules: ServiceRules
 ) -> ServiceBook:
