Bound the outcomes that wait for the platform

Cause: found by reading: outcomes that could not be written were kept without a bound, so an outage of hours would fill a node's memory.

Change: 4 MB and 20,000 outcomes are kept, the oldest are given up. A run that gave one up is not marked as closed, since a ticket without outcome may have run.

Before: unbounded.

--- a/src/cyclamenvane/effects/archive.py
+++ b/src/cyclamenvane/effects/archive.py
@@ -52,7 +52,7 @@
     def close(self) -> bool:
         """Write what is left and mark the run as closed; say whether that worked."""
         self._ledger.close()
-        if self._ledger.running or not self.save():
+        if self._ledger.running or not self.save() or not self._ledger.complete:
             return False
         name = f"{_PREFIX}/{self._ledger.session}/{_CLOSED}"
         return self._objects.put(name, b"").is_ok()
--- a/src/cyclamenvane/effects/ledger.py
+++ b/src/cyclamenvane/effects/ledger.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import threading
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -24,6 +24,8 @@
 __all__ = ["Ledger", "Record", "Standing"]
 
 _MOST_ANSWER_BYTES = 8 * 1024 * 1024
+_MOST_UNSAVED_BYTES = 4 * 1024 * 1024
+_MOST_UNSAVED = 20_000
 
 Key = tuple[str, Ticket]
 
@@ -63,7 +65,9 @@
         self._clock = clock
         self._began = clock.monotonic()
         self._epochs: OrderedDict[int, dict[Key, _Entry]] = OrderedDict()
-        self._unsaved: list[Record] = []
+        self._unsaved: deque[Record] = deque()
+        self._unsaved_bytes = 0
+        self._lost_outcomes = False
         self._answers: OrderedDict[Key, int] = OrderedDict()
         self._answer_bytes = 0
         self._running = 0
@@ -80,6 +84,11 @@
         """The tickets whose requests are being run."""
         return self._running
 
+    @property
+    def complete(self) -> bool:
+        """Whether every outcome of this run was archived or still can be."""
+        return not self._lost_outcomes
+
     def mint(self) -> Ticket:
         """Return a new ticket that only this run may execute."""
         return mint_ticket(self.session, self.epoch)
@@ -109,13 +118,17 @@
     def take_unsaved(self) -> list[Record]:
         """Take the outcomes that have not been archived yet."""
         with self._lock:
-            taken, self._unsaved = self._unsaved, []
+            taken = list(self._unsaved)
+            self._unsaved.clear()
+            self._unsaved_bytes = 0
             return taken
 
     def put_back(self, records: list[Record]) -> None:
         """Return outcomes whose archiving failed."""
         with self._lock:
-            self._unsaved = records + self._unsaved
+            self._unsaved.extendleft(reversed(records))
+            self._unsaved_bytes += sum(len(record.answer.body) for record in records)
+            self._bound_unsaved()
 
     def close(self) -> None:
         """Run no further ticket; copies are told to look elsewhere."""
@@ -154,10 +167,23 @@
             entry.answer = answer
             waiters, entry.waiters = entry.waiters, []
             self._unsaved.append(Record(caller, ticket, answer))
+            self._unsaved_bytes += len(answer.body)
+            self._bound_unsaved()
             self._bound_answers((caller, ticket), answer)
         for waiter in waiters:
             waiter(answer)
 
+    def _bound_unsaved(self) -> None:
+        # In a long outage of the platform the oldest outcomes are given up. The
+        # run can then not be closed, since a ticket without outcome may have run.
+        while (
+            self._unsaved_bytes > _MOST_UNSAVED_BYTES
+            or len(self._unsaved) > _MOST_UNSAVED
+        ):
+            record = self._unsaved.popleft()
+            self._unsaved_bytes -= len(record.answer.body)
+            self._lost_outcomes = True
+
     def _bound_answers(self, key: Key, answer: Answer) -> None:
         self._answers[key] = len(answer.body)
         self._answer_bytes += len(answer.body)
--- a/tests/effects/test_ledger.py
+++ b/tests/effects/test_ledger.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 from conftest import ManualClock
+from platform_faults import FaultyPlatform
 
 from cyclamenvane.calls import Answer, Outcome, Refusal, refuse_call
-from cyclamenvane.effects import EPOCH, EPOCHS_KEPT, Ledger, Standing, parse_ticket
+from cyclamenvane.effects import (
+    EPOCH,
+    EPOCHS_KEPT,
+    Archive,
+    Ledger,
+    Standing,
+    parse_ticket,
+)
 
 ANSWER = Answer(200, (), b"booked", Outcome.DONE)
 
@@ -74,3 +82,22 @@
         ledger.finish("a", ticket, big)
     found = [ledger.begin("a", ticket, lambda _: None) for ticket in tickets]
     assert found == [Standing.ARCHIVED, Standing.ARCHIVED, Standing.ANSWERED]
+
+
+def test_outcomes_of_a_long_outage_are_bounded_and_keep_the_run_open(clock) -> None:
+    ledger = Ledger("run", clock)
+    platform = FaultyPlatform(clock)
+    archive = Archive(platform.objects, ledger)
+    platform.down = True
+    big = Answer(200, (), b"x" * 1_000_000, Outcome.DONE)
+    for _ in range(20):
+        ticket = ledger.mint()
+        ledger.begin("a", ticket, lambda _: None)
+        ledger.finish("a", ticket, big)
+        assert not archive.save()
+    kept = ledger.take_unsaved()
+    assert 0 < len(kept) < 8
+    ledger.put_back(kept)
+    platform.down = False
+    assert not archive.close(), "a run that lost outcomes was closed"
+    assert archive.find("a", kept[-1].ticket).body == big.body
