--- a/src/cyclamenvane/node/control.py
+++ b/src/cyclamenvane/node/control.py
@@ -133,7 +133,8 @@
     def _show_status(self, environ: Environ) -> _Reply:
         node = self._node
         own = node.view.own
-        targets = [asdict(describe_target(each)) for each in node.targets.all()]
+        rules = node.rulebook
+        targets = [asdict(describe_target(each, rules)) for each in node.targets.all()]
         sections = [describe_section(each) for each in node.sections.all()]
         for section in sections:
             del section["text"]
--- a/src/cyclamenvane/node/status.py
+++ b/src/cyclamenvane/node/status.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from ..audit import AuditEntry
-    from ..policy import Section
+    from ..policy import Rulebook, Section
     from .target import LocalTarget
 
 __all__ = [
@@ -61,15 +61,16 @@
     pinned: bool
 
 
-def describe_target(target: LocalTarget) -> TargetStatus:
-    """Return the status of a local target."""
+def describe_target(target: LocalTarget, rules: Rulebook) -> TargetStatus:
+    """Return the status of a local target under the rules in force."""
     record, gate = target.record, target.gate.state()
+    leaving = record.leaving or record.address in rules.find(record.service).leaving
     return TargetStatus(
         record.service,
         record.address,
         record.slots,
         record.cold,
-        record.leaving,
+        leaving,
         gate.in_flight,
         gate.waiting,
         gate.limit,
--- a/tests/cli/test_policy.py
+++ b/tests/cli/test_policy.py
@@ -85,6 +85,14 @@
     assert "ana accept desk 0 -> 1" in shell.run("audit")[1]
 
 
+def test_status_tells_that_the_document_marks_a_target(shell, document, cluster):
+    target = cluster.add_target(cluster.nodes[0], "booking")
+    assert "warm" in shell.run("status")[1]
+    document.write_text(DOCUMENT + f'leaving = ["{target.address}"]\n')
+    shell.run(f"policy accept {document}")
+    assert "leaving" in shell.run("status")[1]
+
+
 def test_missing_key_is_told(shell, monkeypatch) -> None:
     monkeypatch.delenv("CYCLAMENVANE_OPERATORS_KEY")
     status, told = shell.run("status")
