Close connections in their loop only, and exchange views by buckets

Cause: two tests failed now and then with a connection reset. A thread that saw its caller gone closed the connection itself, and the descriptor was given to a new connection while the loop still handled the old one.

Ruled out: the handshake of streams, the announcement, a crash of a task.

Change: the thread hands such a connection back to its loop; an ended server no longer writes to the number of its closed trigger. Views that differ exchange digests of 64 buckets and the members of those that differ instead of whole views of 130 KB at 1,100 nodes.

--- a/src/cyclamenvane/membership/__init__.py
+++ b/src/cyclamenvane/membership/__init__.py
@@ -12,9 +12,10 @@
     unpack_member,
 )
 from .roster import ROW_RENEWAL, read_rows, write_row
-from .view import Change, View
+from .view import BUCKETS, Change, View
 
 __all__ = [
+    "BUCKETS",
     "ROW_RENEWAL",
     "Change",
     "Gossip",
--- a/src/cyclamenvane/membership/view.py
+++ b/src/cyclamenvane/membership/view.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -25,11 +25,12 @@
 if TYPE_CHECKING:
     from ..clock import Clock
 
-__all__ = ["DEATH_MEMORY", "SUSPICION", "Change", "View"]
+__all__ = ["BUCKETS", "DEATH_MEMORY", "SUSPICION", "Change", "View"]
 
 SUSPICION = timedelta(seconds=3)
 DEATH_MEMORY = timedelta(hours=1)
 CUT_MEMORY = timedelta(hours=6)
+BUCKETS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,22 @@
         with self._lock:
             return tuple(self._members.values())
 
+    def read_buckets(self) -> tuple[int, ...]:
+        """Return a digest for each bucket of members, by hash of their names."""
+        digests = [0] * BUCKETS
+        for member in self.all():
+            digests[_find_bucket(member)] ^= _mark(member)
+        return tuple(digests)
+
+    def list_differing(self, digests: Sequence[int]) -> tuple[Member, ...]:
+        """Return the members of the buckets whose digests are others here."""
+        own = self.read_buckets()
+        return tuple(
+            member
+            for member in self.all()
+            if own[_find_bucket(member)] != digests[_find_bucket(member)]
+        )
+
     def others(self) -> tuple[Member, ...]:
         """Return every member but this node."""
         return tuple(each for each in self.all() if each.name != self._own.name)
@@ -248,5 +265,9 @@
                 del self._dead[name]
 
 
+def _find_bucket(member: Member) -> int:
+    return xxhash.xxh64_intdigest(member.name.encode()) % BUCKETS
+
+
 def _mark(member: Member) -> int:
     return xxhash.xxh64_intdigest(f"{member.name}\0{member.incarnation}".encode())
--- a/src/cyclamenvane/node/channel.py
+++ b/src/cyclamenvane/node/channel.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import select
+import socket
 import threading
 from collections.abc import Callable
 from datetime import timedelta
@@ -211,9 +212,19 @@
                 return True
             if not _poll(self.socket, select.POLLIN, _LINGER):
                 return False
+            if not self._holds_data():
+                return False
             self.handle_read()
         return False
 
+    def _holds_data(self) -> bool:
+        # Only the loop closes connections: a descriptor that is closed here may
+        # be given to a new connection while the loop still handles the old one.
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def _next_parser(self, adj: Any) -> _Parser | _UploadBody:
         # What follows the headers of an upload is its body, even when the
         # request has been answered already.
@@ -265,6 +276,8 @@
 
     def __init__(self, *args: Any, linger: LingerBudget, **kwargs: Any) -> None:
         self.linger = linger
+        self._trigger_lock = threading.Lock()
+        self._ended = False
         super().__init__(*args, **kwargs)
 
     def maintenance(self, now: float) -> None:
@@ -282,8 +295,19 @@
     def pull_trigger(self) -> None:
         """Wake the loop, unless the thread that asks holds a quiet connection."""
         held: _Channel | None = getattr(_HELD, "channel", None)
-        if held is None or not held.is_quiet():
-            super().pull_trigger()
+        if held is not None and held.is_quiet():
+            return
+        with self._trigger_lock:
+            # The trigger is a bare descriptor: once closed, its number may
+            # belong to another connection.
+            if not self._ended:
+                super().pull_trigger()
+
+    def end(self) -> None:
+        """Close every connection and the trigger; the loop must have ended."""
+        with self._trigger_lock:
+            self._ended = True
+            self.asyncore.close_all(self._map, True)
 
 
 def _poll(sock: Any, events: int, wait: timedelta | int) -> list[tuple[int, int]]:
--- a/src/cyclamenvane/node/joining.py
+++ b/src/cyclamenvane/node/joining.py
@@ -14,6 +14,7 @@
 import msgpack
 
 from ..membership import (
+    BUCKETS,
     ROW_RENEWAL,
     MalformedMember,
     Member,
@@ -34,7 +35,7 @@
     from ..policy import Spread
     from ..routing import PeerPool
 
-__all__ = ["Joining", "pack_members", "unpack_members"]
+__all__ = ["Joining", "answer_differing", "pack_members", "unpack_members"]
 
 _RETRY = timedelta(seconds=1)
 _CHECK = timedelta(seconds=30)
@@ -57,6 +58,17 @@
         return ()
 
 
+def answer_differing(view: View, payload: bytes) -> bytes | None:
+    """Return the members of the buckets that differ from a node's digests."""
+    try:
+        digests = msgpack.unpackb(payload)
+    except (ValueError, msgpack.UnpackException):
+        return None
+    if not isinstance(digests, list) or len(digests) != BUCKETS:
+        return None
+    return pack_members(view.list_differing(digests))
+
+
 class Joining:
     """One node's way to the others."""
 
@@ -117,7 +129,16 @@
         if self._synced_at is not None and now - self._synced_at < _SYNC_EVERY:
             return
         self._synced_at = now
-        self._executor.submit(self._sync_with, (sender.host, sender.stream_port))
+        self._executor.submit(self._take_differing, sender)
+
+    def _take_differing(self, sender: Member) -> None:
+        client = self._peers.reach(sender)
+        if client is None:
+            return
+        payload = msgpack.packb(self._view.read_buckets())
+        reply = client.ask("membership.differ", payload, _ASK_TIMEOUT)
+        if reply is not None:
+            self._view.merge_all(unpack_members(reply))
 
     def _learn(self) -> bool:
         reached = self._contact_others()
--- a/src/cyclamenvane/node/listener.py
+++ b/src/cyclamenvane/node/listener.py
@@ -66,10 +66,7 @@
             return
         self._stopped = True
         for server in self._servers:
-            try:
-                server.pull_trigger()
-            except OSError:
-                continue  # Its loop has ended by itself.
+            server.pull_trigger()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _make_server(
@@ -95,7 +92,7 @@
         while not self._stopped:
             asyncore.poll2(_POLL.total_seconds(), server._map)
         self._socket.close()
-        asyncore.close_all(server._map, True)
+        server.end()
 
 
 def _adjust(connections: int) -> Adjustments:
--- a/src/cyclamenvane/node/node.py
+++ b/src/cyclamenvane/node/node.py
@@ -60,7 +60,7 @@
 from .control import Control
 from .execution import Execution
 from .front import Front
-from .joining import Joining, pack_members, unpack_members
+from .joining import Joining, answer_differing, pack_members, unpack_members
 from .listener import HttpListener
 from .metric import CallMetrics
 from .status import count_standings
@@ -397,6 +397,8 @@
             if peer.role == ROLE_NODE:
                 self.view.merge_all(unpack_members(payload))
             return pack_members(self.view.all())
+        if topic == "membership.differ":
+            return answer_differing(self.view, payload)
         if topic == "outcome":
             return self._answer_outcome(peer, payload)
         return self.spread.answer(topic, payload)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -139,3 +139,20 @@
     view = make_view(clock)
     view.merge(replace(view.own, standing=Standing.DEAD))
     assert view.own.incarnation == 2 and view.own.standing is Standing.ALIVE
+
+
+def test_only_the_buckets_that_differ_are_exchanged(clock: ManualClock) -> None:
+    views = [View(make_member(name), clock) for name in ("a", "b")]
+    for number in range(1100):
+        member = Member(f"n{number}", f"r{number}", 1, "z1", "r", "127.0.0.1", 1, 1)
+        for view in views:
+            view.merge(member)
+    for view in views:
+        view.merge_all(other.own for other in views)
+    first, second = views
+    assert first.list_differing(second.read_buckets()) == ()
+    first.merge(Member("n7", "again", 2, "z1", "r", "127.0.0.1", 1, 1))
+    differing = first.list_differing(second.read_buckets())
+    assert len(differing) < 1100 / 20
+    second.merge_all(differing)
+    assert second.digest == first.digest
