Never call a repeat "not run" because its target has gone

A repeat under a ticket whose target had been withdrawn was refused as "not run" without asking the node run that knows what became of it. A repeat under a caller's own key that no target took at the moment was told "unknown" although it was bound and answered. The front refused requests with a key as "not run" before anybody had looked the key up. A cancelled call with a large answer could hold its slot.

Change: the ticket's run is always asked; a key that cannot be closed is followed to what it is bound to; early refusals of keyed requests are "unknown"; a cancelled call sends no body; a dropped large answer is never passed on empty.

Before: both new tests fail, one with two requests that had run called "not run". After: they pass, with the tests of effects, features, caller, node, routing and wire.

--- a/src/cyclamenvane/effects/claim.py
+++ b/src/cyclamenvane/effects/claim.py
@@ -29,12 +29,11 @@
 class Claim:
     """What a key is bound to: a ticket, or nothing for good when closed.
 
-    `version` is that of the row, `fresh` says that this very call bound it.
+    `version` is that of the row.
     """
 
     ticket: Ticket | None
     version: int
-    fresh: bool = False
 
 
 def bind_key(
@@ -46,22 +45,21 @@
     )
     made = table.commit([write])
     if made.is_ok():
-        return Ok(Claim(ticket, 1, fresh=True))
+        return Ok(Claim(ticket, 1))
     if made.error.failure is Failure.UNAVAILABLE:
         return Error(made.error)
-    return _read_claim(table, caller, key, ticket)
+    return _read_claim(table, caller, key)
 
 
-def close_key(table: Table, caller: str, key: str) -> bool:
-    """Bind an unbound key to nothing for good; say whether that is sure."""
-    name = _row_name(caller, key)
-    made = table.commit([Write(name, _CLOSED, 0, CLAIM_LIFETIME)])
+def close_key(table: Table, caller: str, key: str) -> Result[Claim, PlatformError]:
+    """Bind an unbound key to nothing for good, or find what it is bound to."""
+    write = Write(_row_name(caller, key), _CLOSED, 0, CLAIM_LIFETIME)
+    made = table.commit([write])
     if made.is_ok():
-        return True
+        return Ok(Claim(None, 1))
     if made.error.failure is Failure.UNAVAILABLE:
-        return False
-    row = table.get(name)
-    return row.is_ok() and row.ok is not None and row.ok.value == _CLOSED
+        return Error(made.error)
+    return _read_claim(table, caller, key)
 
 
 def move_key(
@@ -72,15 +70,13 @@
     value = format_ticket(ticket).encode()
     made = table.commit([Write(name, value, claim.version, CLAIM_LIFETIME)])
     if made.is_ok():
-        return Ok(Claim(ticket, claim.version + 1, fresh=True))
+        return Ok(Claim(ticket, claim.version + 1))
     if made.error.failure is Failure.UNAVAILABLE:
         return Error(made.error)
-    return _read_claim(table, caller, key, ticket)
+    return _read_claim(table, caller, key)
 
 
-def _read_claim(
-    table: Table, caller: str, key: str, own: Ticket
-) -> Result[Claim, PlatformError]:
+def _read_claim(table: Table, caller: str, key: str) -> Result[Claim, PlatformError]:
     found = table.get(_row_name(caller, key))
     if found.is_error():
         return Error(found.error)
@@ -88,8 +84,7 @@
     if row is None:
         # The lost write may still take effect, so nothing is bound yet.
         return Error(PlatformError(Failure.UNKNOWN, "the claim cannot be seen yet"))
-    ticket = parse_ticket(row.value.decode())
-    return Ok(Claim(ticket, row.version, fresh=ticket == own))
+    return Ok(Claim(parse_ticket(row.value.decode()), row.version))
 
 
 def _row_name(caller: str, key: str) -> str:
--- a/src/cyclamenvane/node/front.py
+++ b/src/cyclamenvane/node/front.py
@@ -28,6 +28,7 @@
     Request,
     open_token,
     refuse_call,
+    report_unknown,
 )
 from ..effects import format_ticket
 from ..wire import derive_credential
@@ -188,7 +189,7 @@
         parent = self._execution.find_scope(context.dispatch)
         if parent is None and self._execution.owns(context.dispatch):
             # Its call has ended, so nobody waits for what it would do.
-            return refuse_call(Refusal.CANCELLED, "its own call has ended")
+            return _refuse_early(arrival, Refusal.CANCELLED, "its own call has ended")
         if parent is None:
             # Dispatched on another VM, where its allowance is kept.
             parent = CallScope(_inherit(context, 0), arrival.deadline)
@@ -202,10 +203,10 @@
     def _call(self, arrival: _Arrival, scope: CallScope) -> Answer:
         request = _build_request(arrival, scope)
         if isinstance(request, Refusal):
-            return refuse_call(request)
+            return _refuse_early(arrival, request)
         upload = arrival.upload
         if upload is not None and not self._uploads.acquire(blocking=False):
-            return refuse_call(Refusal.OVERLOAD, "too many uploads are under way")
+            return _refuse_early(arrival, Refusal.OVERLOAD, "too many uploads")
         is_gone = arrival.environ.get("waitress.client_disconnected")
         self.watch.add(is_gone, scope)
         try:
@@ -258,6 +259,13 @@
     return first, f"/{rest}{tail}"
 
 
+def _refuse_early(arrival: _Arrival, refusal: Refusal, detail: str = "") -> Answer:
+    # Nobody has looked up what became of another copy under the same key.
+    if arrival.environ.get(_KEY_HEADER):
+        return report_unknown(refusal, detail)
+    return refuse_call(refusal, detail)
+
+
 def _build_request(arrival: _Arrival, scope: CallScope) -> Request | Refusal:
     book, upload = arrival.book, arrival.upload
     decision = book.decide(scope.context.caller, arrival.method, arrival.path)
--- a/src/cyclamenvane/routing/keyed.py
+++ b/src/cyclamenvane/routing/keyed.py
@@ -26,13 +26,13 @@
     move_key,
     parse_ticket,
 )
+from ..membership import Member, TargetRecord
 from .directory import Endpoint
 from .link import Link
 from .router import Router, refuse_none, report_unbound
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..membership import Member
     from ..platform import Table
 
 __all__ = ["EpochBook", "KeyedRouter"]
@@ -41,6 +41,7 @@
 _RECONNECT_PAUSE = timedelta(milliseconds=50)
 _MOST_MOVES = 4
 _MOST_EPOCHS = 4096
+_NO_ADDRESS = ""
 _SILENT = frozenset({Refusal.LOST, Refusal.UNREACHED})
 
 
@@ -136,7 +137,7 @@
             return report_unbound(Refusal.PLATFORM)
         endpoint = self.router.choose_target(request)
         if isinstance(endpoint, Refusal):
-            return self._give_up(request, endpoint)
+            return self._give_up(self.table, request, endpoint)
         self.router.chooser.release(endpoint)
         ticket = self._mint_for(endpoint)
         if ticket is None:
@@ -145,11 +146,14 @@
         bound = bind_key(self.table, caller, request.key, ticket)
         return bound.ok if bound.is_ok() else report_unbound(Refusal.PLATFORM)
 
-    def _give_up(self, request: Request, refusal: Refusal) -> Answer:
-        assert self.table is not None, "only bound keys are given up"
-        if close_key(self.table, request.context.caller, request.key):
-            return refuse_none(refusal)
-        return report_unbound(refusal)
+    def _give_up(
+        self, table: Table, request: Request, refusal: Refusal
+    ) -> Claim | Answer:
+        """Close a key that no target takes, or find what it was bound to before."""
+        closed = close_key(table, request.context.caller, request.key)
+        if closed.is_error():
+            return report_unbound(refusal)
+        return refuse_none(refusal) if closed.ok.ticket is None else closed.ok
 
     def _move(
         self, claim: Claim, request: Request, declined: tuple[Ticket, ...]
@@ -184,8 +188,6 @@
         if member is None:
             return self.find_outcome(request.context.caller, ticket)
         endpoint = _find_endpoint(member, request.service)
-        if endpoint is None:
-            return refuse_call(Refusal.BAD_REQUEST, "the ticket is for another service")
         self.router.chooser.begin(endpoint)
         return self.router.send(endpoint, request, scope, token)
 
@@ -209,9 +211,8 @@
         names = set()
         for ticket in declined:
             member = self.router.directory.find_session(ticket.session)
-            endpoint = member and _find_endpoint(member, request.service)
-            if endpoint:
-                names.add(endpoint.name)
+            if member is not None:
+                names.add(_find_endpoint(member, request.service).name)
         return frozenset(names)
 
     def _mint_for(self, endpoint: Endpoint) -> Ticket | None:
@@ -219,8 +220,9 @@
         return None if epoch is None else mint_ticket(endpoint.member.session, epoch)
 
 
-def _find_endpoint(member: Member, service: str) -> Endpoint | None:
+def _find_endpoint(member: Member, service: str) -> Endpoint:
     for target in member.targets:
         if target.service == service:
             return Endpoint(service, member, target)
-    return None
+    # The target has gone, but its node still knows what became of the ticket.
+    return Endpoint(service, member, TargetRecord(service, _NO_ADDRESS, slots=1))
--- a/src/cyclamenvane/routing/router.py
+++ b/src/cyclamenvane/routing/router.py
@@ -81,17 +81,15 @@
         while True:
             if request.deadline <= self.clock.monotonic():
                 return last or refuse_call(Refusal.DEADLINE)
-            endpoint = self._choose(request, without)
+            endpoint = self.choose_target(request, without)
             if isinstance(endpoint, Refusal):
                 self._note_refusal(endpoint, request, scope)
                 return last or refuse_none(endpoint)
             answer = self.send(endpoint, request, scope, token)
             if not self._may_go_on(request, answer, scope):
                 return answer
-            if not isinstance(answer.body, bytes):
-                answer.body.close()
             without |= {endpoint.name}
-            last = answer
+            last = _drop_body(answer)
             if answer.refusal not in _NOT_HANDED_OVER:
                 request = replace(request, request_id="")
                 self._back_off(attempt, request)
@@ -104,7 +102,14 @@
 
         `without` holds the names of targets that have declined it.
         """
-        return self._choose(request, without)
+        context = request.context
+        return self.chooser.choose(
+            request.service,
+            name_route(request),
+            rank_call(context.importance, context.root),
+            request.request_id,
+            without,
+        )
 
     def send(
         self, endpoint: Endpoint, request: Request, scope: CallScope, token: str
@@ -135,18 +140,6 @@
         """Return the signed context of a request."""
         return sign_context(request.context, self.key)
 
-    def _choose(
-        self, request: Request, without: frozenset[tuple[str, str]]
-    ) -> Endpoint | Refusal:
-        context = request.context
-        return self.chooser.choose(
-            request.service,
-            name_route(request),
-            rank_call(context.importance, context.root),
-            request.request_id,
-            without,
-        )
-
     def _note_refusal(
         self, refusal: Refusal, request: Request, scope: CallScope
     ) -> None:
@@ -175,6 +168,15 @@
             self.pause(wait.total_seconds())
 
 
+def _drop_body(answer: Answer) -> Answer:
+    # A large answer that is not passed on at once frees its slot, and is never
+    # passed on later without its body.
+    if isinstance(answer.body, bytes):
+        return answer
+    answer.body.close()
+    return report_unknown(Refusal.TARGET_FAILED, report=answer.report)
+
+
 def refuse_none(refusal: Refusal) -> Answer:
     """Return the answer for a call that no target takes."""
     return refuse_call(refusal, retry_after=_LEAST_RETRY_AFTER)
--- a/src/cyclamenvane/wire/server.py
+++ b/src/cyclamenvane/wire/server.py
@@ -95,6 +95,8 @@
         self.pass_reading_on()
         length = _body_length(answer.body)
         self._stream.open_body(self.frame.call)
+        if self.cancelled:
+            self._stream.stop_sending(self.frame.call)
         self._stream.send(_answer_frame(self.frame.call, answer, b"", length))
         self._stream.send_body(self.frame.call, _chunks(answer.body))
         if not isinstance(answer.body, bytes):
@@ -182,8 +184,9 @@
                 if self._serve(reading, frame):
                     return
             elif isinstance(frame, CancelFrame):
-                stream.drop_body(frame.call)
+                # Cancelled first: `reply` opens its body before it looks.
                 _cancel(reading.calls.pop(frame.call, None))
+                stream.drop_body(frame.call)
             elif isinstance(frame, AskFrame):
                 self._executor.submit(self._reply, stream, reading.peer, frame)
         self._streams.discard(stream)
--- a/tests/effects/test_once.py
+++ b/tests/effects/test_once.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 from conftest import ManualClock
@@ -271,3 +272,25 @@
     machine.send("ticket-1", "", "", False)
     assert list(machine.world.effects.values()) == [1]
     assert not machine.told_not_run, "a key that may be bound was called not run"
+
+
+def test_repeat_gets_its_answer_after_the_target_has_gone() -> None:
+    machine = OnceMachine()
+    machine.send("ticket-1", "", "", False)
+    machine.send("key-1", "", "", False)
+    for run in machine.world.runs:
+        run.member = replace(run.member, targets=())
+        run.refusal = Refusal.LEAVING
+    machine.send("ticket-1", "", "", False)
+    machine.send("key-1", "", "", False)
+    assert not machine.told_not_run, "what had run was called not run"
+    assert len(machine.told_done) == 2
+
+
+def test_repeat_of_a_bound_key_is_followed_when_no_target_takes_it() -> None:
+    machine = OnceMachine()
+    machine.send("key-1", "", "", False)
+    machine.world.choose_target = lambda *_: Refusal.OVERLOAD
+    machine.told_done.clear()
+    machine.send("key-1", "", "", False)
+    assert list(machine.told_done) == ["/key-1"]
