Read large bodies at the control listener, and drop dead code

Cause: a body above 64 KB arrived at the control listener as a pipe that nobody read, so a large section was refused as "no JSON". The bound on a section stood in the code and was checked nowhere.

Change: the pipe is read, a section above 64 KB is refused with its bound, and the dead code is gone.

Before: 400 "no JSON" for a section of 80 KB. After: 422 with the bound, and nothing changes; the new test checks both.

--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -69,10 +69,6 @@
         self._overflowed = False
         self._step = float(tuning.rise)
 
-    def admits(self, rank: int) -> bool:
-        """Whether a call of that rank is taken at present."""
-        return rank < self.level
-
     def retune(self, tuning: LevelTuning) -> None:
         """Take another tuning into use."""
         self._tuning = tuning
--- a/src/cyclamenvane/membership/gossip.py
+++ b/src/cyclamenvane/membership/gossip.py
@@ -145,7 +145,6 @@
         choose: random.Random | None = None,
     ) -> None:
         self.sent_bytes = 0
-        self.sent_datagrams = 0
         self.view = view
         self._key = key
         self._clock = clock
@@ -330,7 +329,6 @@
         except OSError:
             return
         self.sent_bytes += len(raw)
-        self.sent_datagrams += 1
 
     def _receive(self) -> None:
         while not self._stopped.is_set():
--- a/src/cyclamenvane/node/control.py
+++ b/src/cyclamenvane/node/control.py
@@ -20,9 +20,18 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..audit import list_actions, list_changes
+from ..calls import BodyFailed, Pipe, read_all
 from ..membership import TargetRecord
-from ..policy import Edit, accept_edit, list_history, parse_document, read_section
+from ..policy import (
+    MAX_SECTION_BYTES,
+    Edit,
+    accept_edit,
+    list_history,
+    parse_document,
+    read_section,
+)
 from ..settings import Address, Between, Pattern, build_checked
+from .channel import UPLOAD_KEY
 from .http import find_bearer, reply_text
 from .status import (
     describe_entry,
@@ -221,6 +230,8 @@
 
 def _check_section(said: _EditBody, node: Node) -> str:
     """Return what is wrong with a section among the others in force, or ''."""
+    if len(said.text.encode()) > MAX_SECTION_BYTES:
+        return f"the section is larger than {MAX_SECTION_BYTES} bytes; shorten it"
     parsed = parse_document(said.text)
     if parsed.is_error():
         return str(parsed.error)
@@ -242,9 +253,14 @@
 
 
 def _read_body(environ: Environ, kind: type) -> Result[Any, str]:
-    raw = environ["wsgi.input"].read(_MOST_BODY_BYTES + 1)
-    if len(raw) > _MOST_BODY_BYTES:
+    body: bytes | Pipe = environ.get(UPLOAD_KEY) or environ["wsgi.input"].read()
+    length = (body.length or 0) if isinstance(body, Pipe) else len(body)
+    if length > _MOST_BODY_BYTES:
         return Error(f"the body is larger than {_MOST_BODY_BYTES} bytes")
+    try:
+        raw = read_all(body)
+    except BodyFailed as error:
+        return Error(f"the body broke off: {error}")
     try:
         data = json.loads(raw)
     except ValueError as error:
--- a/src/cyclamenvane/policy/__init__.py
+++ b/src/cyclamenvane/policy/__init__.py
@@ -12,6 +12,7 @@
     read_sections,
 )
 from .document import (
+    MAX_SECTION_BYTES,
     Document,
     DocumentError,
     ManualRule,
@@ -23,6 +24,7 @@
 from .spread import Spread
 
 __all__ = [
+    "MAX_SECTION_BYTES",
     "Decision",
     "Document",
     "DocumentError",
--- a/src/cyclamenvane/policy/document.py
+++ b/src/cyclamenvane/policy/document.py
@@ -36,6 +36,7 @@
 from ..settings import Address, Between, OneOf, Pattern, Problem, build_checked
 
 __all__ = [
+    "MAX_SECTION_BYTES",
     "Document",
     "DocumentError",
     "ImportanceRule",
--- a/src/cyclamenvane/wire/codec.py
+++ b/src/cyclamenvane/wire/codec.py
@@ -72,17 +72,13 @@
 class FrameReader:
     """Collects bytes and yields the frames in them.
 
-    `limit` bounds the bytes held for one frame. It starts small on a stream
-    whose other side has not proved the key, and `widen` lifts it.
+    `limit` bounds the bytes held for one frame. It is small while the other side
+    of a stream has not proved the key.
     """
 
     def __init__(self, limit: int = MAX_FRAME_BYTES) -> None:
         self._unpacker = _make_unpacker(limit)
 
-    def widen(self, limit: int = MAX_FRAME_BYTES) -> None:
-        """Take another limit; only between two frames."""
-        self._unpacker = _make_unpacker(limit)
-
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that are whole after `data`; raises MalformedFrame."""
         try:
--- a/src/cyclamenvane/wire/stream.py
+++ b/src/cyclamenvane/wire/stream.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from ..clock import Clock
 
-__all__ = ["SEND_TIMEOUT", "SILENCE", "Stream", "StreamClosed", "tune_socket"]
+__all__ = ["SEND_TIMEOUT", "SILENCE", "Stream", "tune_socket"]
 
 SILENCE = timedelta(seconds=2)
 SEND_TIMEOUT = timedelta(seconds=2)
@@ -30,10 +30,6 @@
 _PIPE_CHUNKS = PIPE_BYTES // CHUNK_BYTES
 
 
-class StreamClosed(Exception):
-    """The stream was closed while a frame or body was being sent."""
-
-
 def tune_socket(sock: socket.socket) -> None:
     """Set the options that every stream needs: no delay, bounded sends."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/node/test_security.py
+++ b/tests/node/test_security.py
@@ -69,3 +69,10 @@
         sock.sendall(b"GET / HTTP/1.1\r\nContent-Length: many\r\n\r\n")
         assert sock.recv(4096).startswith(b"HTTP/1.1 400")
     assert cluster.call(node, "GET", "/stock/x").reason == "no-target"
+
+
+def test_oversized_section_is_refused_and_changes_nothing(cluster, node) -> None:
+    text = "[teams.desk]\n" + "# words\n" * 10_000
+    reply = cluster.accept(node, "desk", text)
+    assert reply.status == 422 and b"larger than" in reply.body
+    assert not node.sections.versions()
