Look outcomes up under a caller's own name only

Cause: an embedded caller that acts for a root's caller asked for an outcome, the node looked under the embedded caller's name, found nothing, and said "not run" when the run had closed.

Change: such an outcome is "unknown". Before: "not run". After: the new test gets "unknown" under another name and "not run" under its own.

--- a/src/cyclamenvane/caller/caller.py
+++ b/src/cyclamenvane/caller/caller.py
@@ -243,6 +243,10 @@
         )
 
     def _find_outcome(self, caller: str, ticket: Ticket) -> Answer:
+        # A node looks an outcome up under this caller's own name only, and would
+        # find nothing of what was run in the name of a root's caller.
+        if caller != self._settings.name:
+            return report_unknown(Refusal.NO_RECORD)
         client = self._reach_any()
         if client is None:
             return report_unknown(Refusal.LOST)
--- a/tests/caller/test_caller.py
+++ b/tests/caller/test_caller.py
@@ -9,6 +9,7 @@
 
 from cyclamenvane import Caller, CallerSettings, Outcome, SystemClock
 from cyclamenvane.calls import CallContext, Importance, sign_context
+from cyclamenvane.effects import Ticket
 from cyclamenvane.wire import derive_credential
 
 SECTION = """\
@@ -83,3 +84,10 @@
     text = SECTION + 'idempotent = ["POST /notes"]\n'
     assert desk.accept(desk.nodes[1], "desk", text, base=1).status == 200
     wait_until(lambda: caller.refresh() and caller.holds("desk", 2), "the section")
+
+
+def test_outcome_under_another_name_is_never_called_not_run(desk, caller) -> None:
+    desk.platform.objects.put("outcomes/gone/closed", b"")
+    ticket = Ticket("gone", 0, "nonce")
+    assert caller._find_outcome("dispatch", ticket).outcome is Outcome.NOT_RUN
+    assert caller._find_outcome("crane-crews", ticket).outcome is Outcome.UNKNOWN
