Move what a node does on its streams out of its module

Cause: the node's module had two jobs, putting the parts together and serving calls and questions, and copied a context field by field in two places.

Change: serving and answering are a module of their own, gauges stand beside the other metrics. A test reads the metrics, which nothing had checked.

--- a/src/cyclamenvane/node/control.py
+++ b/src/cyclamenvane/node/control.py
@@ -33,6 +33,7 @@
 from ..settings import Address, Between, Pattern, build_checked
 from .channel import UPLOAD_KEY
 from .http import find_bearer, reply_text
+from .metric import refresh_gauges
 from .status import (
     describe_entry,
     describe_section,
@@ -101,7 +102,7 @@
         """Serve one request."""
         name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
         if name == "GET /metrics":
-            self._node.refresh_gauges()
+            refresh_gauges(self._node)
             text = generate_latest(self._node.metrics.registry).decode()
             kind = CONTENT_TYPE_LATEST.partition(";")[0]
             return reply_text(start_response, 200, text, kind)
--- a/src/cyclamenvane/node/metric.py
+++ b/src/cyclamenvane/node/metric.py
@@ -7,10 +7,13 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from .status import count_standings
+
 if TYPE_CHECKING:
     from ..calls import Answer, Request
+    from .node import Node
 
-__all__ = ["CallMetrics"]
+__all__ = ["CallMetrics", "refresh_gauges"]
 
 _BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 
@@ -74,3 +77,22 @@
             refusal.name.lower(),
         )
         return self._calls.labels(*labels), self._seconds.labels(service)
+
+
+def refresh_gauges(node: Node) -> None:
+    """Bring the gauges of a node's metrics up to date."""
+    gauges = node.metrics.gauges
+    for (zone, standing), count in count_standings(node.view.all()).items():
+        gauges["members"].labels(zone, standing).set(count)
+    gauges["peer_streams"].set(len(node.peers))
+    gauges["answers_dropped"].set(node.peers.dropped)
+    gauges["gossip_bytes"].set(node.gossip.sent_bytes)
+    for section in node.sections.all():
+        gauges["section_version"].labels(section.team).set(section.version)
+    for target in node.targets.all():
+        state = target.gate.state()
+        service = target.record.service
+        gauges["target_in_flight"].labels(service).set(state.in_flight)
+        gauges["target_waiting"].labels(service).set(state.waiting)
+        gauges["target_limit"].labels(service).set(state.limit)
+        gauges["target_level"].labels(service).set(state.level)
--- a/src/cyclamenvane/node/node.py
+++ b/src/cyclamenvane/node/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import random
 import secrets
 import threading
@@ -11,16 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ..audit import ActionLog
-from ..calls import (
-    Answer,
-    CallContext,
-    CallScope,
-    Refusal,
-    Request,
-    open_token,
-    refuse_call,
-)
-from ..effects import Archive, Ledger, pack_answer, parse_ticket
+from ..effects import Archive, Ledger
 from ..kernel import load_plugins
 from ..membership import (
     Gossip,
@@ -48,22 +38,14 @@
     Router,
 )
 from ..settings import Settings, split_address
-from ..wire import (
-    ROLE_CALLER,
-    ROLE_NODE,
-    IncomingCall,
-    Peer,
-    RequestFrame,
-    StreamServer,
-    derive_credential,
-)
+from ..wire import ROLE_NODE, StreamServer
 from .control import Control
 from .execution import Execution
 from .front import Front
-from .joining import Joining, answer_differing, pack_members, unpack_members
+from .joining import Joining
 from .listener import HttpListener
 from .metric import CallMetrics
-from .status import count_standings
+from .serving import Answering, Serving, make_key_finder
 from .target import LocalTargets
 from .task import TaskPool, stop_process
 
@@ -86,7 +68,6 @@
 _RETRY_SHARE = 0.1
 _SAVE_ACTIONS = timedelta(seconds=10)
 _LEAVE_SETTLE = timedelta(seconds=2)
-_MICROSECOND = timedelta(microseconds=1)
 
 
 class Node:
@@ -119,9 +100,9 @@
         self.streams = StreamServer(
             (here.host, here.stream_port),
             session,
-            self._find_key,
-            self._serve_stream,
-            self._answer_ask,
+            make_key_finder(self._node_key, self._caller_key),
+            lambda peer, call: self.serving.serve(peer, call),
+            lambda *question: self.answering.answer(*question),
             clock,
             self.tasks,
         )
@@ -174,6 +155,10 @@
             clock,
             self.tasks,
         )
+        self.serving = Serving(
+            self.execution, session, lambda: self._rulebook, self._node_key, clock
+        )
+        self.answering = Answering(self.ledger, self.archive, self.view, self.spread)
         self.router = self._make_router(session)
         self.keyed = self._make_keyed()
         self.front = Front(
@@ -261,24 +246,6 @@
             return None
         return round((self.clock.monotonic() - seen).total_seconds(), 1)
 
-    def refresh_gauges(self) -> None:
-        """Bring the gauges of the metrics up to date."""
-        gauges = self.metrics.gauges
-        for (zone, standing), count in count_standings(self.view.all()).items():
-            gauges["members"].labels(zone, standing).set(count)
-        gauges["peer_streams"].set(len(self.peers))
-        gauges["answers_dropped"].set(self.peers.dropped)
-        gauges["gossip_bytes"].set(self.gossip.sent_bytes)
-        for section in self.sections.all():
-            gauges["section_version"].labels(section.team).set(section.version)
-        for target in self.targets.all():
-            state = target.gate.state()
-            service = target.record.service
-            gauges["target_in_flight"].labels(service).set(state.in_flight)
-            gauges["target_waiting"].labels(service).set(state.waiting)
-            gauges["target_limit"].labels(service).set(state.limit)
-            gauges["target_level"].labels(service).set(state.level)
-
     def _describe(self, name: str, session: str, gossip_port: int) -> Member:
         here = self.settings.node
         started = self.clock.now().timestamp()
@@ -309,7 +276,7 @@
             link=Link(self.peers, self.clock),
             clock=self.clock,
             session=session,
-            serve_local=self._serve_local,
+            serve_local=self.serving.serve_local,
             key=self._node_key,
         )
 
@@ -377,88 +344,12 @@
             for member in self.view.all()
         )
 
-    def _find_key(self, role: str, name: str) -> bytes | None:
-        if role == ROLE_NODE:
-            return self._node_key
-        if role == ROLE_CALLER:
-            return derive_credential(self._caller_key, name)
-        return None
-
     def _ask(
         self, member: Member, topic: str, payload: bytes, timeout: timedelta
     ) -> bytes | None:
         client = self.peers.reach(member)
         return None if client is None else client.ask(topic, payload, timeout)
 
-    def _answer_ask(self, peer: Peer, topic: str, payload: bytes) -> bytes | None:
-        if topic == "epoch":
-            return self.ledger.epoch.to_bytes(8, "big")
-        if topic == "membership.sync":
-            if peer.role == ROLE_NODE:
-                self.view.merge_all(unpack_members(payload))
-            return pack_members(self.view.all())
-        if topic == "membership.differ":
-            return answer_differing(self.view, payload)
-        if topic == "outcome":
-            return self._answer_outcome(peer, payload)
-        return self.spread.answer(topic, payload)
-
-    def _answer_outcome(self, peer: Peer, payload: bytes) -> bytes | None:
-        ticket = parse_ticket(payload.decode(errors="replace"))
-        if ticket is None:
-            return None
-        return pack_answer(self.archive.find(peer.name, ticket))
-
-    def _serve_local(self, request: Request, granted: int, scope: CallScope) -> Answer:
-        box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
-        child = CallScope(_grant(request.context, granted), request.deadline)
-        forget = scope.on_cancel(child.cancel)
-        self.execution.serve(request, child, box.put)
-        answer = box.get()
-        forget()
-        return answer
-
-    def _serve_stream(self, peer: Peer, call: IncomingCall) -> None:
-        frame = call.frame
-        context = open_token(frame.token, self._node_key)
-        if context is None and peer.role == ROLE_NODE:
-            call.reply(refuse_call(Refusal.UNAUTHENTICATED))
-            return
-        if frame.session and frame.session != self.ledger.session and not frame.key:
-            call.reply(refuse_call(Refusal.LEAVING))
-            return
-        request = self._build_request(peer, call, context)
-        scope = CallScope(request.context, request.deadline)
-        call.on_cancel(scope.cancel)
-        self.execution.serve(
-            request, scope, call.reply, before_wait=call.pass_reading_on
-        )
-
-    def _build_request(
-        self, peer: Peer, call: IncomingCall, context: CallContext | None
-    ) -> Request:
-        frame: RequestFrame = call.frame
-        caller = context.caller if context else peer.name
-        book = self._rulebook.find(frame.service)
-        decision = book.decide(caller, frame.method, frame.path)
-        if context is None:
-            root = frame.request_id or secrets.token_hex(_SESSION_BYTES)
-            most = book.extra_attempts
-            context = CallContext(root, caller, decision.importance, 0, most)
-        granted = min(frame.allowance, context.allowance)
-        return Request(
-            service=frame.service,
-            method=frame.method,
-            path=frame.path,
-            headers=frame.headers,
-            body=call.body,
-            context=_grant(context, granted),
-            deadline=self.clock.monotonic() + frame.remaining_us * _MICROSECOND,
-            request_id=frame.request_id,
-            key=frame.key,
-            repeatable=decision.repeatable,
-        )
-
 
 def _open_platform(settings: Settings, clock: Clock) -> Platform:
     plugins = load_plugins()
@@ -468,14 +359,3 @@
     if found is None:
         raise ValueError(f"no plug-in opens a platform {settings.platform.kind!r}")
     return found
-
-
-def _grant(context: CallContext, allowance: int) -> CallContext:
-    return CallContext(
-        context.root,
-        context.caller,
-        context.importance,
-        context.depth,
-        allowance,
-        context.dispatch,
-    )
--- /dev/null
+++ b/src/cyclamenvane/node/serving.py
@@ -0,0 +1,154 @@
+"""What a node does for the other sides of its streams.
+
+`Serving` takes calls to the targets on this VM, from streams or from this node's
+own router. `Answering` answers questions that are no calls to a target.
+"""
+
+from __future__ import annotations
+
+import queue
+import secrets
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ..calls import (
+    Answer,
+    CallContext,
+    CallScope,
+    Refusal,
+    Request,
+    open_token,
+    refuse_call,
+)
+from ..effects import Archive, Ledger, pack_answer, parse_ticket
+from ..wire import ROLE_CALLER, ROLE_NODE, IncomingCall, Peer, derive_credential
+from .joining import answer_differing, pack_members, unpack_members
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..membership import View
+    from ..policy import Rulebook, Spread
+    from .execution import Execution
+
+__all__ = ["Answering", "Serving", "make_key_finder"]
+
+_MICROSECOND = timedelta(microseconds=1)
+_ROOT_BYTES = 6
+
+
+def make_key_finder(
+    node_key: bytes, caller_key: bytes
+) -> Callable[[str, str], bytes | None]:
+    """Return what gives the key that a role and name have to prove."""
+
+    def find_key(role: str, name: str) -> bytes | None:
+        if role == ROLE_NODE:
+            return node_key
+        return derive_credential(caller_key, name) if role == ROLE_CALLER else None
+
+    return find_key
+
+
+class Serving:
+    """Takes calls to the targets of this node."""
+
+    def __init__(
+        self,
+        execution: Execution,
+        session: str,
+        rulebook: Callable[[], Rulebook],
+        node_key: bytes,
+        clock: Clock,
+    ) -> None:
+        self._execution = execution
+        self._session = session
+        self._rulebook = rulebook
+        self._node_key = node_key
+        self._clock = clock
+
+    def serve(self, peer: Peer, call: IncomingCall) -> None:
+        """Serve a call that arrived on a stream."""
+        frame = call.frame
+        context = open_token(frame.token, self._node_key)
+        if context is None and peer.role == ROLE_NODE:
+            call.reply(refuse_call(Refusal.UNAUTHENTICATED))
+            return
+        if frame.session and frame.session != self._session and not frame.key:
+            call.reply(refuse_call(Refusal.LEAVING))
+            return
+        request = self._build_request(peer, call, context)
+        scope = CallScope(request.context, request.deadline)
+        call.on_cancel(scope.cancel)
+        self._execution.serve(
+            request, scope, call.reply, before_wait=call.pass_reading_on
+        )
+
+    def serve_local(self, request: Request, granted: int, scope: CallScope) -> Answer:
+        """Return the answer to a call that entered at this node."""
+        box: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        context = replace(request.context, allowance=granted)
+        child = CallScope(context, request.deadline)
+        forget = scope.on_cancel(child.cancel)
+        self._execution.serve(request, child, box.put)
+        answer = box.get()
+        forget()
+        return answer
+
+    def _build_request(
+        self, peer: Peer, call: IncomingCall, context: CallContext | None
+    ) -> Request:
+        frame = call.frame
+        caller = context.caller if context else peer.name
+        book = self._rulebook().find(frame.service)
+        decision = book.decide(caller, frame.method, frame.path)
+        if context is None:
+            root = frame.request_id or secrets.token_hex(_ROOT_BYTES)
+            most = book.extra_attempts
+            context = CallContext(root, caller, decision.importance, 0, most)
+        granted = min(frame.allowance, context.allowance)
+        return Request(
+            service=frame.service,
+            method=frame.method,
+            path=frame.path,
+            headers=frame.headers,
+            body=call.body,
+            context=replace(context, allowance=granted),
+            deadline=self._clock.monotonic() + frame.remaining_us * _MICROSECOND,
+            request_id=frame.request_id,
+            key=frame.key,
+            repeatable=decision.repeatable,
+        )
+
+
+class Answering:
+    """Answers the questions of nodes and embedded callers."""
+
+    def __init__(
+        self, ledger: Ledger, archive: Archive, view: View, spread: Spread
+    ) -> None:
+        self._ledger = ledger
+        self._archive = archive
+        self._view = view
+        self._spread = spread
+
+    def answer(self, peer: Peer, topic: str, payload: bytes) -> bytes | None:
+        """Return the reply to a question, or None when there is none."""
+        if topic == "epoch":
+            return self._ledger.epoch.to_bytes(8, "big")
+        if topic == "membership.sync":
+            if peer.role == ROLE_NODE:
+                self._view.merge_all(unpack_members(payload))
+            return pack_members(self._view.all())
+        if topic == "membership.differ":
+            return answer_differing(self._view, payload)
+        if topic == "outcome":
+            return self._find_outcome(peer, payload)
+        return self._spread.answer(topic, payload)
+
+    def _find_outcome(self, peer: Peer, payload: bytes) -> bytes | None:
+        ticket = parse_ticket(payload.decode(errors="replace"))
+        if ticket is None:
+            return None
+        return pack_answer(self._archive.find(peer.name, ticket))
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -74,3 +74,14 @@
 
 def _names(node) -> set[str]:
     return {member.name for member in node.view.all()}
+
+
+def test_metrics_tell_calls_targets_and_sections(path: Cluster) -> None:
+    node = path.nodes[2]
+    assert path.accept(node, "desk", "[teams.desk]\n").status == 200
+    assert path.call(node, "GET", "/booking/x").status == 200
+    text = path.control(node, "GET", "/metrics").body.decode()
+    assert 'cyclamenvane_calls_total{importance="normal",outcome="done"' in text
+    assert 'cyclamenvane_target_limit{service="booking"} 16.0' in text
+    assert 'cyclamenvane_section_version{team="desk"} 1.0' in text
+    assert 'cyclamenvane_members{standing="alive",zone="amman-1"} 2.0' in text
