Split the promises' scenarios by what they are about

Change: three features with a module of steps each, shared steps beside them, the manual clock in a module of its own. The 16 scenarios are the same.

--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -4,9 +4,9 @@
 
 from datetime import timedelta
 
-from conftest import ManualClock
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from manual_clock import ManualClock
 
 from cyclamenvane.admission import ADMITTED, QUEUED, Gate, Waiting
 from cyclamenvane.calls import RANKS, Importance, Refusal
--- a/tests/admission/test_resend.py
+++ b/tests/admission/test_resend.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from conftest import ManualClock
 from hypothesis import given
 from hypothesis import strategies as st
+from manual_clock import ManualClock
 
 from cyclamenvane.admission import RESEND_WINDOW, ResendGuard
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from datetime import datetime, timedelta, timezone
-
 import pytest
 from harness import Cluster
 from hypothesis import HealthCheck, settings
+from manual_clock import ManualClock
 
 settings.register_profile(
     "ci",
@@ -34,22 +33,6 @@
     settings.load_profile("long" if config.getoption("--long") else "ci")
 
 
-class ManualClock:
-    """A clock that tests move by hand."""
-
-    def __init__(self) -> None:
-        self.passed = timedelta(seconds=1000)
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 1, tzinfo=timezone.utc) + self.passed
-
-    def monotonic(self) -> timedelta:
-        return self.passed
-
-    def advance(self, seconds: float) -> None:
-        self.passed += timedelta(seconds=seconds)
-
-
 @pytest.fixture
 def clock() -> ManualClock:
     return ManualClock()
--- a/tests/effects/test_ledger.py
+++ b/tests/effects/test_ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from conftest import ManualClock
+from manual_clock import ManualClock
 from platform_faults import FaultyPlatform
 
 from cyclamenvane.calls import Answer, Outcome, Refusal, refuse_call
--- a/tests/effects/test_once.py
+++ b/tests/effects/test_once.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from conftest import ManualClock
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from manual_clock import ManualClock
 from platform_faults import FaultyPlatform
 
 from cyclamenvane.calls import (
--- a/tests/features/promises.feature
+++ b/tests/features/calls.feature
@@ -1,4 +1,4 @@
-Feature: What must always hold
+Feature: Calls
 
   Background:
     Given a desk with nodes in the zones "amman-1", "amman-1" and "amman-2"
@@ -23,45 +23,6 @@
     When a foreman asks it
     Then the answer is an error and no part of it is passed off as whole
 
-  Scenario: What was told "not run" truly was not run
-    Given a "booking" target with 1 slot that takes 0.3 s
-    When 20 bookings are sent at once, each with its own ticket
-    Then each booking told "done" ran once and each told "not-run" never ran
-
-  Scenario: A booking sent again takes effect once
-    Given a "booking" target with 4 slots that takes 0.1 s
-    When the same booking is sent at every node at once
-    Then it ran once and every answer is the same
-
-  Scenario: A booking outlives a connection that goes silent
-    Given a "booking" target with 4 slots that takes 0.5 s
-    When the streams between nodes are cut while a booking runs
-    Then it ran once and every answer is the same
-
-  Scenario: A leaving target gets no new work
-    Given two "stock" targets
-    When the first announces that it is leaving
-    Then it gets no new work and every request is served by the second
-
-  Scenario: A target that the document marks as leaving gets no new work
-    Given two "stock" targets
-    When the document marks the first as leaving
-    Then it gets no new work and every request is served by the second
-
-  Scenario: A graceful shutdown cuts off nothing in flight
-    Given a "stock" target with 8 slots that takes 0.5 s
-    When its node is shut down while 6 requests are in flight
-    Then all 6 are answered whole
-
-  Scenario: An accepted section is in force in every zone and stays
-    When the section of a team is accepted, then an older copy is heard again
-    Then the newer version is in force at every node
-
-  Scenario: A node that starts during an outage takes the sections from peers
-    Given a section that is accepted and in force
-    When the platform goes down and another node starts
-    Then the new node holds the section and serves
-
   Scenario: A caller that goes away frees its slot
     Given a "stock" target with 1 slot that takes 5 s
     When a caller leaves while its request runs
--- /dev/null
+++ b/tests/features/conftest.py
@@ -0,0 +1,39 @@
+"""Steps that the features share."""
+
+from __future__ import annotations
+
+from harness import Cluster, put_in_force
+from manual_clock import ManualClock
+from platform_faults import FaultyPlatform
+from pytest_bdd import given, parsers
+
+
+@given(parsers.parse('a desk with nodes in the zones "{a}", "{b}" and "{c}"'))
+def desk(cluster: Cluster, a: str, b: str, c: str) -> None:
+    cluster.platform = FaultyPlatform(ManualClock())
+    for zone in (a, b, c):
+        cluster.add_node(zone)
+    cluster.settle()
+
+
+@given(parsers.parse('a "{service}" target with {slots:d} slot that takes {delay:g} s'))
+@given(
+    parsers.parse('a "{service}" target with {slots:d} slots that takes {delay:g} s')
+)
+def one_target(cluster: Cluster, service: str, slots: int, delay: float) -> None:
+    rules = f"""\
+[teams.{service}-team]
+[teams.{service}-team.services.{service}]
+deadline_ms = 10000
+body_limit_kb = 16384
+non_idempotent = ["POST /bookings/*"]
+[[teams.{service}-team.services.{service}.importance]]
+callers = ["crane-crews"]
+level = "critical"
+[[teams.{service}-team.services.{service}.importance]]
+callers = ["foremen"]
+level = "low"
+"""
+    put_in_force(cluster, f"{service}-team", rules)
+    cluster.add_target(cluster.nodes[0], service, slots=slots, delay_s=delay)
+    cluster.settle(service, 1)
--- /dev/null
+++ b/tests/features/test_changes.py
@@ -0,0 +1,101 @@
+"""Steps of departures and of the document, on real nodes and stand-ins."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+
+from harness import Cluster, leave, put_in_force, wait_until
+from pytest_bdd import given, scenarios, then, when
+
+from cyclamenvane.policy import Section
+
+scenarios("changes.feature")
+
+
+@given('two "stock" targets')
+def two_targets(cluster: Cluster) -> None:
+    put_in_force(cluster, "desk", "[teams.desk.services.stock]\n")
+    for node in cluster.nodes[:2]:
+        cluster.add_target(node, "stock")
+    cluster.settle("stock", 2)
+
+
+@when("the first announces that it is leaving")
+def announce_leaving(cluster: Cluster) -> None:
+    cluster.announce(cluster.nodes[0], "stock", cluster.targets[0], leaving=True)
+
+
+@when("the document marks the first as leaving")
+def mark_leaving(cluster: Cluster) -> None:
+    address = cluster.targets[0].address
+    text = f'[teams.desk.services.stock]\nleaving = ["{address}"]\n'
+    reply = cluster.accept(cluster.nodes[0], "desk", text, base=1)
+    assert reply.status == 200
+
+
+@then("it gets no new work and every request is served by the second")
+def no_new_work(cluster: Cluster) -> None:
+    # Some nodes have not heard yet: their calls cross the news, are refused as
+    # not run and sent elsewhere.
+    for index in range(12):
+        reply = cluster.call(cluster.nodes[index % 3], "GET", f"/stock/{index}")
+        assert reply.status == 200
+    assert not cluster.targets[0].runs
+    assert sum(cluster.targets[1].runs.values()) == 12
+
+
+@when("its node is shut down while 6 requests are in flight", target_fixture="replies")
+def shut_down(cluster: Cluster) -> list:
+    with ThreadPoolExecutor(7) as pool:
+        sending = [
+            pool.submit(cluster.call, cluster.nodes[2], "GET", f"/stock/echo/{n}")
+            for n in range(6)
+        ]
+        target = cluster.targets[0]
+        wait_until(lambda: sum(target.runs.values()) == 6, "the requests to run")
+        assert pool.submit(leave, cluster.nodes[0]).result()
+        return [each.result() for each in sending]
+
+
+@then("all 6 are answered whole")
+def all_answered(replies: list) -> None:
+    assert sorted(reply.body for reply in replies) == [
+        f"/echo/{n}\n".encode() for n in range(6)
+    ]
+
+
+@when("the section of a team is accepted, then an older copy is heard again")
+def accept_twice(cluster: Cluster, clock) -> None:
+    put_in_force(cluster, "desk", "[teams.desk]\n")
+    older = cluster.nodes[0].sections.get("desk")
+    put_in_force(cluster, "desk", '[teams.desk]\nowner = "desk"\n', base=1)
+    for node in cluster.nodes:
+        node.spread.accept(older)
+        node.spread.accept(Section("desk", 1, "", "stale", "x", clock.now()))
+
+
+@then("the newer version is in force at every node")
+def newer_in_force(cluster: Cluster) -> None:
+    for node in cluster.nodes:
+        assert node.sections.get("desk").version == 2
+        assert 'owner = "desk"' in node.sections.get("desk").text
+
+
+@given("a section that is accepted and in force")
+def accepted_section(cluster: Cluster) -> None:
+    put_in_force(cluster, "desk", "[teams.desk.services.stock]\n")
+
+
+@when("the platform goes down and another node starts")
+def start_in_outage(cluster: Cluster) -> None:
+    cluster.platform.down = True
+    cluster.add_node("amman-2")
+
+
+@then("the new node holds the section and serves")
+def holds_section(cluster: Cluster) -> None:
+    node = cluster.nodes[-1]
+    assert node.sections.versions() == {"desk": 1}
+    cluster.add_target(cluster.nodes[0], "stock")
+    cluster.settle("stock", 1)
+    assert cluster.call(node, "GET", "/stock/x").status == 200
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -179,3 +180,19 @@
 
 def leave(node: Node, seconds: float = 10.0) -> bool:
     return node.stop(timedelta(seconds=seconds))
+
+
+def at_once(count: int, work: Callable[[int], object]) -> list:
+    """Do some work in that many threads at once, and return what each gave."""
+    with ThreadPoolExecutor(count) as pool:
+        return list(pool.map(work, range(count)))
+
+
+def put_in_force(cluster: Cluster, team: str, text: str, base: int = 0) -> None:
+    """Accept a section and wait until it is in force at every node."""
+    assert cluster.accept(cluster.nodes[0], team, text, base).status == 200
+    version = base + 1
+    wait_until(
+        lambda: all(n.sections.versions().get(team) == version for n in cluster.nodes),
+        "the section to be in force everywhere",
+    )
--- /dev/null
+++ b/tests/manual_clock.py
@@ -0,0 +1,21 @@
+"""A clock for tests."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta, timezone
+
+
+class ManualClock:
+    """A clock that tests move by hand."""
+
+    def __init__(self) -> None:
+        self.passed = timedelta(seconds=1000)
+
+    def now(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=timezone.utc) + self.passed
+
+    def monotonic(self) -> timedelta:
+        return self.passed
+
+    def advance(self, seconds: float) -> None:
+        self.passed += timedelta(seconds=seconds)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -7,9 +7,9 @@
 from datetime import timedelta
 
 import pytest
-from conftest import ManualClock
 from hypothesis import given
 from hypothesis import strategies as st
+from manual_clock import ManualClock
 
 from cyclamenvane.membership import Gossip, Member, Standing, View, gossip
 from cyclamenvane.membership.datagram import open_datagram
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from conftest import ManualClock
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from manual_clock import ManualClock
 
 from cyclamenvane.membership import Member, Standing, TargetRecord, View
 from cyclamenvane.membership.view import SUSPICION
--- a/tests/node/test_connection.py
+++ b/tests/node/test_connection.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 import pytest
-from conftest import ManualClock
+from manual_clock import ManualClock
 
 from cyclamenvane.node.connection import ConnectionPool
 
--- a/tests/policy/test_acceptance.py
+++ b/tests/policy/test_acceptance.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from conftest import ManualClock
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from manual_clock import ManualClock
 from platform_faults import FaultyPlatform
 
 from cyclamenvane.audit import list_changes
--- a/tests/policy/test_spread.py
+++ b/tests/policy/test_spread.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from conftest import ManualClock
+from manual_clock import ManualClock
 from platform_faults import FaultyPlatform
 
 from cyclamenvane.membership import Member
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 import pytest
-from conftest import ManualClock
+from manual_clock import ManualClock
 
 from cyclamenvane.calls import RANKS, Refusal
 from cyclamenvane.membership import Member, Standing, TargetRecord
--- a/tests/wire/test_stream.py
+++ b/tests/wire/test_stream.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 import pytest
-from conftest import ManualClock
+from manual_clock import ManualClock
 
 from cyclamenvane.calls import CHUNK_BYTES, PIPE_BYTES, BodyFailed, Pipe
 from cyclamenvane.wire import FrameReader, Peer
