Bound bodies without a length before they are whole

Cause: a chunked body was collected in memory without a bound before the document's limit was looked at. The wait between polls was computed from a power that grew with every failure of a long outage.

Before: a chunked body that never ends gets no answer (the new test times out).

--- a/src/cyclamenvane/node/channel.py
+++ b/src/cyclamenvane/node/channel.py
@@ -4,7 +4,7 @@
 ones into a temporary file. The VMs have no disk, so a body above a small size is
 handed to the application as a bounded pipe instead: the application runs as soon
 as the headers are there, and the connection is read no faster than the pipe
-empties.
+empties. A body without a length is held whole, and refused above a small size.
 
 A thread that has answered a request waits a moment for the next one on the same
 connection before it gives the connection back to its loop. On a busy connection
@@ -25,6 +25,7 @@
 from waitress.parser import HTTPRequestParser
 from waitress.server import TcpWSGIServer
 from waitress.task import WSGITask
+from waitress.utilities import RequestEntityTooLarge
 
 from ..calls import CHUNK_BYTES, Pipe
 
@@ -35,6 +36,7 @@
 
 UPLOAD_KEY = "cyclamenvane.upload"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_MOST_CHUNKED_BYTES = 4 * CHUNK_BYTES
 _STALL = timedelta(seconds=10)
 _LINGER = timedelta(milliseconds=200)
 _MILLISECOND = timedelta(milliseconds=1)
@@ -61,6 +63,10 @@
             self.expect_continue = False
             self.completed = True
             self._on_upload(self.upload)
+        elif self.chunked and self.body_bytes_received > _MOST_CHUNKED_BYTES:
+            text = f"a body without a length may have {_MOST_CHUNKED_BYTES} bytes"
+            self.error = RequestEntityTooLarge(text)
+            self.completed = True
         return used
 
 
--- a/src/cyclamenvane/policy/spread.py
+++ b/src/cyclamenvane/policy/spread.py
@@ -165,7 +165,7 @@
     def _draw_wait(self) -> timedelta:
         # While the platform is down the polls thin out, and after it returns
         # they come back at random times.
-        factor = min(2**self._failures, _SLOWEST_POLL_FACTOR)
+        factor = min(1 + self._failures, _SLOWEST_POLL_FACTOR)
         mean = POLL_PERIOD * max(1, self._count_zone()) * factor
         return mean * self._random.uniform(0.5, 1.5)
 
--- a/tests/node/test_security.py
+++ b/tests/node/test_security.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from harness import KEYS, Cluster, fetch
+from harness import KEYS, Cluster, credential, fetch
 
 from cyclamenvane.wire import encode_frame
 from cyclamenvane.wire.frame import AskFrame, HelloFrame, ProofFrame
@@ -76,3 +76,29 @@
     reply = cluster.accept(node, "desk", text)
     assert reply.status == 422 and b"larger than" in reply.body
     assert not node.sections.versions()
+
+
+def send_chunked(node, count: int, ending: bytes) -> bytes:
+    head = (
+        "POST /stock/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+        f"Authorization: Bearer {credential('foremen')}\r\n\r\n"
+    )
+    with socket.create_connection(node.front_listener.address, 5) as sock:
+        try:
+            sock.sendall(head.encode())
+            for _ in range(count):
+                sock.sendall(b"8000\r\n" + b"x" * 0x8000 + b"\r\n")
+            sock.sendall(ending)
+            return sock.recv(4096)
+        except ConnectionError:
+            return b"closed"
+
+
+def test_body_without_a_length_is_refused_before_its_end(cluster, node) -> None:
+    cluster.add_target(node, "stock")
+    whole = send_chunked(node, 2, b"0\r\n\r\n")
+    assert whole.startswith(b"HTTP/1.1 200")
+    # Nothing ends this body: only a node that bounds it answers at all.
+    told = send_chunked(node, 16, b"")
+    assert told == b"closed" or told.startswith(b"HTTP/1.1 413")
+    assert cluster.targets[0].received == 2 * 0x8000
