--- a/src/cyclamenvane/__init__.py
+++ b/src/cyclamenvane/__init__.py
@@ -1,16 +1,14 @@
 """Overload control for service call graphs.
 
 `Node` is the process beside a target, `Caller` the way in for a service that
-embeds the library. The packages below hold the parts both are made of.
+embeds the library. The packages below hold the parts both are made of. They are
+imported on first use, so a daemon loads only what it runs.
 """
 
 from __future__ import annotations
 
-from .caller import Caller, CallerSettings
-from .calls import Answer, Importance, Outcome, Refusal
-from .clock import Clock, SystemClock
-from .node import Node
-from .settings import Settings, read_settings
+import importlib
+from typing import Any
 
 __all__ = [
     "Answer",
@@ -25,3 +23,24 @@
     "SystemClock",
     "read_settings",
 ]
+
+_MODULES = {
+    "Answer": "calls",
+    "Caller": "caller",
+    "CallerSettings": "caller",
+    "Clock": "clock",
+    "Importance": "calls",
+    "Node": "node",
+    "Outcome": "calls",
+    "Refusal": "calls",
+    "Settings": "settings",
+    "SystemClock": "clock",
+    "read_settings": "settings",
+}
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f".{_MODULES[name]}", __name__)
+    return getattr(module, name)
--- a/src/cyclamenvane/audit/trail.py
+++ b/src/cyclamenvane/audit/trail.py
@@ -18,7 +18,7 @@
 import msgpack
 from expression import Result
 
-from ..platform import ObjectStore, PlatformError, Row, Table
+from ..store import ObjectStore, PlatformError, Row, Table
 
 if TYPE_CHECKING:
     from ..clock import Clock
--- a/src/cyclamenvane/cli/demo.py
+++ b/src/cyclamenvane/cli/demo.py
@@ -16,10 +16,10 @@
 from ..clock import SystemClock
 from ..membership import TargetRecord
 from ..node import Node
-from ..platform import MemoryPlatform
 from ..policy import Edit, accept_edit
 from ..settings import KeySettings, NodeSettings, Settings
 from ..standins import TargetStandIn
+from ..store import MemoryPlatform
 from ..wire import derive_credential
 
 __all__ = ["DemoCommand"]
--- a/src/cyclamenvane/effects/archive.py
+++ b/src/cyclamenvane/effects/archive.py
@@ -14,7 +14,7 @@
 from expression import Error, Ok, Result
 
 from ..calls import Answer, Outcome, Refusal, refuse_call, report_unknown
-from ..platform import ObjectStore, PlatformError
+from ..store import ObjectStore, PlatformError
 from .ledger import Ledger, Record
 from .ticket import Ticket, format_ticket
 
--- a/src/cyclamenvane/effects/claim.py
+++ b/src/cyclamenvane/effects/claim.py
@@ -15,7 +15,7 @@
 
 from expression import Error, Ok, Result
 
-from ..platform import Failure, PlatformError, Table, Write
+from ..store import Failure, PlatformError, Table, Write
 from .ticket import Ticket, format_ticket, parse_ticket
 
 __all__ = ["Claim", "bind_key", "close_key", "move_key"]
--- a/src/cyclamenvane/kernel/hook.py
+++ b/src/cyclamenvane/kernel/hook.py
@@ -25,8 +25,8 @@
     from cleo.commands.command import Command
 
     from ..clock import Clock
-    from ..platform import Platform
     from ..settings import PlatformSettings
+    from ..store import Platform
 
 __all__ = ["PROJECT", "hookimpl", "hookspec"]
 
--- a/src/cyclamenvane/membership/roster.py
+++ b/src/cyclamenvane/membership/roster.py
@@ -13,7 +13,7 @@
 
 from expression import Result
 
-from ..platform import PlatformError, Table, Write
+from ..store import PlatformError, Table, Write
 from .member import MalformedMember, Member, dump_member, load_member
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/cyclamenvane/mesh/configuration.py
@@ -0,0 +1,76 @@
+"""The configuration in force at this node: it only ever moves forward."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .model import CallerLimits, Route
+
+if TYPE_CHECKING:
+    from .model import Configuration
+
+__all__ = ["CurrentConfiguration", "RouteTable"]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """A configuration arranged for finding routes."""
+
+    configuration: Configuration
+    lowest_priority: int
+    limits: CallerLimits
+    _by_prefix: dict[tuple[bytes, bytes], Route]
+
+    def find_route(self, host: bytes, path: bytes) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        name = host.partition(b":")[0].lower()
+        end = len(path)
+        # Prefixes end with a slash, so only those of the path can match.
+        while (end := path.rfind(b"/", 0, end)) >= 0:
+            route = self._by_prefix.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+
+class CurrentConfiguration:
+    """Holds the newest configuration that this process has been given."""
+
+    def __init__(self, on_change: Callable[[Configuration], None]) -> None:
+        self._table: RouteTable | None = None
+        self._on_change = on_change
+        self._lock = threading.Lock()
+
+    def current(self) -> RouteTable | None:
+        """Return the routes in force, or None before the first configuration."""
+        return self._table
+
+    def version(self) -> int:
+        """Return the version in force, 0 before the first configuration."""
+        table = self._table
+        return table.configuration.version if table else 0
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless a newer one is; return whether."""
+        table = _arrange(configuration)
+        with self._lock:
+            if configuration.version <= self.version():
+                return False
+            self._table = table
+        self._on_change(configuration)
+        return True
+
+
+def _arrange(configuration: Configuration) -> RouteTable:
+    return RouteTable(
+        configuration,
+        max((route.priority for route in configuration.routes), default=0),
+        configuration.limits,
+        {
+            (route.host.encode(), route.prefix.encode()): route
+            for route in configuration.routes
+        },
+    )
--- /dev/null
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -0,0 +1,255 @@
+"""The way of one call from the node where it begins to its outcome.
+
+A call that begins work may be refused here, before anything is spent on it. It
+is then offered to targets one after another: again after a certain "not run",
+after an unknown end only when it may be repeated, and within the budget that
+all nodes share.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from .directory import Directory, Peer
+from .gate import Rank
+from .order import Delivery, Load, Order, Reason, Verdict
+from .placement import choose_peer, choose_service
+from .pressure import PressureTable, is_refused
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from .budget import RetryBudget
+    from .delivery import Courier
+    from .metric import Metrics
+    from .model import Address, NodeRecord, Route
+    from .watch import Watch
+
+__all__ = ["Call", "Dispatcher", "Reply"]
+
+_REFUSALS_FREE = 4  # nodes asked again after "not run"; the target saw nothing
+# Waiting longer than this share of the objective helps nobody: another target,
+# or the caller's own return, is quicker.
+_WAIT_SHARE = 0.5
+_INNER_WAIT_SHARE = 0.8  # work has been done for a call that a target makes
+_LEAST_RETRY = timedelta(milliseconds=100)
+_MOST_RETRY = timedelta(seconds=2)
+_OVERLOAD_RETRY = timedelta(milliseconds=600)  # some windows of the pressure
+_NO_TARGET_RETRY = timedelta(milliseconds=500)  # a heartbeat or two
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call of a caller or of the target beside the node.
+
+    `deadline` is the earlier of the caller's deadline and the route's timeout.
+    """
+
+    attempt: bytes | None
+    route: Route
+    head: bytes
+    body: bytes
+    begins_work: bool
+    arrived: timedelta
+    deadline: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The outcome of a call: the target's answer, or a status of the node's own."""
+
+    status: int
+    head: bytes = b""
+    body: bytes = b""
+    retry_after: timedelta | None = None
+    reason: Reason = Reason.NONE
+    detail: str = ""
+    service: str = ""
+    node: str = ""
+    sends: int = 0
+
+    @property
+    def from_target(self) -> bool:
+        """Whether a target made the answer."""
+        return bool(self.head)
+
+
+class Dispatcher:
+    """Finds the outcome of calls."""
+
+    def __init__(
+        self,
+        own: Callable[[], NodeRecord],
+        directory: Directory,
+        deliver_locally: Courier,
+        deliver_remotely: Callable[[Address, Order, Watch], Delivery],
+        budget: RetryBudget,
+        pressure: PressureTable,
+        clock: Clock,
+        metrics: Metrics,
+        version: Callable[[], int],
+        on_newer_version: Callable[[int, Address], None],
+        lowest_priority: Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._courier = deliver_locally
+        self._deliver_remotely = deliver_remotely
+        self._budget = budget
+        self._pressure = pressure
+        self._clock = clock
+        self._metrics = metrics
+        self._version = version
+        self._on_newer_version = on_newer_version
+        self._lowest_priority = lowest_priority
+        self._local = Peer(own(), clock)
+
+    def serve(self, call: Call, watch: Watch) -> Reply:
+        """Return the outcome of a call; blocks until it is known."""
+        service = choose_service(call.route, random.random())
+        if call.begins_work:
+            refused = self._refuse_early(call, service)
+            if refused is not None:
+                return refused
+        return self._try_targets(call, service, watch)
+
+    def _refuse_early(self, call: Call, service: str) -> Reply | None:
+        pressure = self._pressure.value(service)
+        priority, lowest = call.route.priority, self._lowest_priority()
+        if not is_refused(pressure, priority, lowest, random.random()):
+            return None
+        after = _OVERLOAD_RETRY * random.uniform(0.5, 1.5)
+        detail = f"pressure {pressure:.2f}, priority {priority}"
+        return _refuse(Reason.NO_ROOM, after, detail, service, 0)
+
+    def _try_targets(self, call: Call, service: str, watch: Watch) -> Reply:
+        tried: set[str] = set()
+        sends = 0
+        last = Delivery(Verdict.NOT_RUN, Reason.NO_TARGET)
+        unknown: Delivery | None = None
+        while len(tried) <= _REFUSALS_FREE:
+            now = self._clock.monotonic()
+            if now >= call.deadline:
+                break
+            peer = self._choose(service, tried, now)
+            if peer is None:
+                break
+            if sends and not self._budget.spend(service, self._node_count()):
+                break
+            if not sends:
+                self._budget.note_call(service, self._node_count())
+            tried.add(peer.record.node)
+            last = self._offer(call, service, peer, watch)
+            if last.verdict is Verdict.ANSWERED:
+                return Reply(
+                    last.status,
+                    last.head,
+                    last.body,
+                    service=service,
+                    node=peer.record.node,
+                    sends=sends + 1,
+                )
+            if _reached_target(last):
+                sends += 1
+            if last.verdict is Verdict.UNKNOWN:
+                unknown = last
+            if not self._may_try_again(call, last, sends):
+                break
+        return self._conclude(call, service, unknown or last, sends)
+
+    def _choose(self, service: str, tried: set[str], now: timedelta) -> Peer | None:
+        own = self._own()
+        peers = self._directory.peers_of(service)
+        if own.service == service:
+            self._local.record = own
+            peers = [self._local, *peers]
+        return choose_peer(peers, own.zone, tried, now)
+
+    def _offer(self, call: Call, service: str, peer: Peer, watch: Watch) -> Delivery:
+        remaining = call.deadline - self._clock.monotonic()
+        route = call.route
+        share = _WAIT_SHARE if call.begins_work else _INNER_WAIT_SHARE
+        bound = route.objective if call.begins_work else remaining
+        order = Order(
+            service,
+            call.head,
+            call.body,
+            call.attempt,
+            remaining,
+            min(remaining, bound * share),
+            Rank(call.begins_work, route.priority),
+            self._version(),
+        )
+        peer.note_sent()
+        try:
+            if peer is self._local:
+                delivery = self._courier.deliver(order, watch)
+            else:
+                delivery = self._deliver_remotely(peer.record.address, order, watch)
+        finally:
+            peer.note_done()
+        self._learn(peer, service, delivery)
+        return delivery
+
+    def _learn(self, peer: Peer, service: str, delivery: Delivery) -> None:
+        self._metrics.note_delivery(delivery)
+        if delivery.reason is Reason.UNREACHABLE:
+            peer.note_unreachable()
+        if delivery.load == Load():
+            return
+        peer.note_load(delivery.load)
+        self._pressure.note(service, peer.record.node, delivery.load.pressure)
+        if delivery.verdict is Verdict.ANSWERED and delivery.status < 500:
+            peer.note_success()
+        elif delivery.reason in (Reason.BROKEN, Reason.TARGET_REFUSED):
+            peer.note_fault()
+        if delivery.load.version > self._version():
+            self._on_newer_version(delivery.load.version, peer.record.address)
+
+    def _may_try_again(self, call: Call, last: Delivery, sends: int) -> bool:
+        if last.reason in (Reason.CALLER_GONE, Reason.TIMED_OUT):
+            return False
+        if sends >= call.route.max_targets:
+            return False
+        return last.verdict is Verdict.NOT_RUN or call.route.repeatable
+
+    def _conclude(self, call: Call, service: str, last: Delivery, sends: int) -> Reply:
+        if last.verdict is Verdict.UNKNOWN:
+            late = last.reason is Reason.TIMED_OUT
+            status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+            return Reply(
+                status,
+                reason=last.reason,
+                detail=last.detail,
+                service=service,
+                sends=sends,
+            )
+        after = last.not_before or _NO_TARGET_RETRY
+        after = min(max(after, _LEAST_RETRY), _MOST_RETRY) * random.uniform(0.8, 1.2)
+        return _refuse(last.reason, after, last.detail, service, sends)
+
+    def _node_count(self) -> int:
+        return len(self._directory.peers()) + 1
+
+
+def _reached_target(delivery: Delivery) -> bool:
+    if delivery.verdict is Verdict.UNKNOWN:
+        return True
+    return delivery.reason is Reason.TARGET_REFUSED
+
+
+def _refuse(
+    reason: Reason, after: timedelta, detail: str, service: str, sends: int
+) -> Reply:
+    return Reply(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        retry_after=after,
+        reason=reason,
+        detail=detail,
+        service=service,
+        sends=sends,
+    )
--- /dev/null
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -0,0 +1,325 @@
+"""The connections of callers, and of the target's own calls.
+
+One task serves a connection: it reads a request, finds its outcome and writes
+the answer. Requests that arrive meanwhile on the same connection are served by
+tasks of their own, and answered in order.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from .connection import RECEIVE_BYTES, send_all
+from .dispatch import Call, Reply
+from .message import (
+    HeaderNames,
+    Request,
+    RequestReader,
+    find_header,
+    render_request_head,
+)
+from .model import CallerLimits
+from .watch import Signal, Waited, Watch
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from .configuration import CurrentConfiguration
+    from .memory import BodyMemory
+    from .metric import Metrics
+    from .model import Route
+
+__all__ = ["Entrance"]
+
+_MOST_AHEAD = 32  # requests of one connection that are served at once
+_WRITE_TIMEOUT = timedelta(seconds=10)  # for a caller that reads slowly
+_NO_CONFIGURATION_RETRY = timedelta(seconds=1)
+_NO_MEMORY_RETRY = timedelta(seconds=1)
+_MILLISECOND = timedelta(milliseconds=1)
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """A request that another task serves."""
+
+    reply: Future[Reply]
+    keep_alive: bool
+
+
+class Entrance:
+    """Serves the connections of one listener."""
+
+    def __init__(
+        self,
+        dispatch: Callable[[Call, Watch], Reply],
+        configuration: CurrentConfiguration,
+        names: HeaderNames,
+        service: Callable[[], str],
+        is_own_target: Callable[[socket.socket], bool],
+        executor: Executor,
+        memory: BodyMemory,
+        clock: Clock,
+        metrics: Metrics,
+        on_done: Callable[[Call | None, Request, Reply, timedelta], None],
+    ) -> None:
+        self.dispatch = dispatch
+        self.configuration = configuration
+        self.names = names
+        self.service = service
+        self.is_own_target = is_own_target
+        self.executor = executor
+        self.memory = memory
+        self.clock = clock
+        self.metrics = metrics
+        self.on_done = on_done
+        self.closing = False
+        self._in_flight = 0
+        self._lock = threading.Lock()
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serve one connection until it ends."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = _Connection(self, sock)
+        try:
+            connection.run()
+        except OSError:
+            # The caller's connection broke; its calls are cancelled by `close`.
+            pass
+        finally:
+            connection.close()
+
+    def handle(self, request: Request, begins_work: bool, watch: Watch) -> Reply:
+        """Return the outcome of one request."""
+        with self._lock:
+            self._in_flight += 1
+        try:
+            return self._handle(request, begins_work, watch)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+
+    def in_flight(self) -> int:
+        """Return how many requests are being served."""
+        return self._in_flight
+
+    def _handle(self, request: Request, begins_work: bool, watch: Watch) -> Reply:
+        arrived = self.clock.monotonic()
+        call = self._make_call(request, begins_work, arrived)
+        if isinstance(call, Call):
+            reply = self.dispatch(call, watch)
+            self.on_done(call, request, reply, arrived)
+        else:
+            reply = call
+            self.on_done(None, request, reply, arrived)
+        return reply
+
+    def _make_call(
+        self, request: Request, begins_work: bool, arrived: timedelta
+    ) -> Call | Reply:
+        current = self.configuration.current()
+        if current is None:
+            return Reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                retry_after=_NO_CONFIGURATION_RETRY,
+                detail="no configuration is known yet",
+            )
+        host = find_header(request.headers, b"host") or b""
+        route = current.find_route(host, request.path)
+        if route is None:
+            return Reply(HTTPStatus.NOT_FOUND, detail="no route matches")
+        return Call(
+            find_header(request.headers, self.names.attempt),
+            route,
+            render_request_head(request, self.names, self.service().encode()),
+            request.body,
+            begins_work,
+            arrived,
+            arrived + min(route.timeout, self._read_remaining(request, route)),
+        )
+
+    def _read_remaining(self, request: Request, route: Route) -> timedelta:
+        text = find_header(request.headers, self.names.remaining_ms)
+        if text is None or not text.strip().isdigit():
+            return route.timeout
+        return int(text) * _MILLISECOND
+
+
+class _Connection:
+    """The state of one connection."""
+
+    def __init__(self, entrance: Entrance, sock: socket.socket) -> None:
+        self._entrance = entrance
+        self._clock = entrance.clock
+        self._sock = sock
+        current = entrance.configuration.current()
+        limits = current.limits if current else CallerLimits()
+        self._reader = RequestReader(limits)
+        self._watch = Watch(self._clock, sock.fileno(), self._read_ahead)
+        self._pending: deque[_Pending] = deque()
+        self._cancelled: Signal | None = None
+        self._done: Signal | None = None
+        self._begins_work = not entrance.is_own_target(sock)
+        self._held = 0
+
+    def run(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            request = self._next_request()
+            if request is None:
+                return
+            reply = self._entrance.handle(request, self._begins_work, self._watch)
+            last = not self._write(reply, request.keep_alive)
+            if last or not self._finish_pending():
+                return
+
+    def close(self) -> None:
+        """Cancel the calls that other tasks still serve."""
+        if self._cancelled is not None:
+            self._cancelled.raise_()
+        for pending in self._pending:
+            pending.reply.cancel()
+        self._entrance.memory.release(self._held)
+
+    def _next_request(self) -> Request | None:
+        reader = self._reader
+        began = self._clock.monotonic()
+        while not reader.ready:
+            if reader.problem is not None:
+                self._refuse(reader.problem.value)
+                return None
+            until, late = self._read_bound(began)
+            left = until - self._clock.monotonic()
+            if left <= timedelta() or not self._watch.wait_caller(left):
+                if late is not None:
+                    self._refuse(late)
+                return None
+            idle = not (reader.in_head or reader.in_body)
+            data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            if not data:
+                return None
+            if idle:
+                began = self._clock.monotonic()
+            reader.feed(data)
+            if not self._hold_memory():
+                self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, _NO_MEMORY_RETRY)
+                return None
+            if reader.expects_continue and reader.in_body:
+                reader.expects_continue = False
+                self._send(_CONTINUE)
+        self._release_memory()
+        return reader.ready.popleft()
+
+    def _read_bound(self, began: timedelta) -> tuple[timedelta, HTTPStatus | None]:
+        limits = self._reader.limits
+        if self._reader.in_head:
+            return began + limits.header_timeout, HTTPStatus.REQUEST_TIMEOUT
+        if self._reader.in_body:
+            headers = self._reader.headers_so_far()
+            text = find_header(headers, self._entrance.names.remaining_ms)
+            if text is not None and text.isdigit():
+                return began + int(text) * _MILLISECOND, HTTPStatus.REQUEST_TIMEOUT
+            return began + limits.idle_timeout, HTTPStatus.REQUEST_TIMEOUT
+        return began + limits.idle_timeout, None
+
+    def _hold_memory(self) -> bool:
+        grown = self._reader.buffered - self._held
+        if grown > 0:
+            if not self._entrance.memory.take(grown):
+                return False
+            self._held += grown
+        return True
+
+    def _release_memory(self) -> None:
+        # The body belongs to the call now; what is held is bound by its time.
+        self._entrance.memory.release(self._held)
+        self._held = self._reader.buffered = 0
+
+    def _read_ahead(self) -> bool:
+        """Read what the caller sends while one of its requests is served."""
+        try:
+            data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        if not data:
+            return False
+        self._reader.feed(data)
+        self._start_ahead()
+        if self._reader.problem or len(self._pending) >= _MOST_AHEAD:
+            self._watch.pause_caller()
+        return True
+
+    def _start_ahead(self) -> None:
+        if not self._reader.ready:
+            return
+        if self._cancelled is None:
+            self._cancelled, self._done = Signal(), Signal()
+        while self._reader.ready:
+            request = self._reader.ready.popleft()
+            future = self._entrance.executor.submit(self._serve_ahead, request)
+            self._pending.append(_Pending(future, request.keep_alive))
+        self._reader.buffered = 0
+
+    def _serve_ahead(self, request: Request) -> Reply:
+        cancelled, done = self._cancelled, self._done
+        watch = Watch(self._clock, cancelled.descriptor, lambda: False)
+        try:
+            return self._entrance.handle(request, self._begins_work, watch)
+        finally:
+            done.raise_()
+
+    def _finish_pending(self) -> bool:
+        """Write the answers of requests served by other tasks, in order."""
+        while self._pending:
+            pending = self._pending[0]
+            while not pending.reply.done():
+                until = self._clock.monotonic() + timedelta(seconds=60)
+                waited = self._watch.wait(self._done.descriptor, until)
+                if waited is Waited.CALLER_GONE:
+                    return False
+                self._done.clear()
+            self._pending.popleft()
+            if not self._write(pending.reply.result(), pending.keep_alive):
+                return False
+        self._watch.resume_caller()
+        return True
+
+    def _write(self, reply: Reply, keep_alive: bool) -> bool:
+        """Write an answer; return whether the connection goes on."""
+        if self._watch.gone:
+            return False
+        keep_alive = keep_alive and not self._entrance.closing
+        keep_alive = keep_alive and self._reader.problem is None
+        head = reply.head or _render_own_head(reply)
+        if not keep_alive:
+            head += b"Connection: close\r\n"
+        self._send(head + b"\r\n" + reply.body)
+        return keep_alive
+
+    def _refuse(self, status: HTTPStatus, retry_after: timedelta | None = None) -> None:
+        self._entrance.metrics.note_unread(status)
+        reply = Reply(status, retry_after=retry_after)
+        self._send(_render_own_head(reply) + b"Connection: close\r\n\r\n")
+
+    def _send(self, data: bytes) -> None:
+        until = self._clock.monotonic() + _WRITE_TIMEOUT
+        send_all(self._sock, data, self._watch, until)
+
+
+def _render_own_head(reply: Reply) -> bytes:
+    status = HTTPStatus(reply.status)
+    head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
+    if reply.retry_after is not None:
+        # Fractions let callers return as soon as there is room.
+        seconds = reply.retry_after.total_seconds()
+        head += f"Retry-After: {seconds:.3f}\r\n"
+    return head.encode()
--- /dev/null
+++ b/src/cyclamenvane/mesh/gate.py
@@ -0,0 +1,156 @@
+"""Admission of calls to the target beside the node.
+
+The target is never given more calls at once than it works on: one that cannot
+queue a call may never answer it. Calls that find no room wait in the order of
+`Rank`, each no longer than its own bound, and are refused at once when the wait
+is expected to be longer. `Pressure` tells the nodes where calls begin how much
+of the less important work to refuse there, before any of it is done.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import threading
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+from .pressure import Pressure
+from .watch import Signal, Waited, Watch
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+
+__all__ = ["Entry", "Gate", "GateLoad", "Rank"]
+
+# Targets slow down when nearly all of their slots are taken.
+_USED_SHARE = 15 / 16
+_SMOOTHING = 0.05  # weight of one call in the mean time of a call
+_FIRST_MEAN = timedelta(milliseconds=20)  # until calls have been seen
+
+
+class Rank(NamedTuple):
+    """The order of admission: the smallest first.
+
+    A call that a target makes for a call it serves goes before one that begins
+    the work, since refusing it would throw away what has been done.
+    """
+
+    begins_work: bool
+    priority: int
+
+
+class Entry(NamedTuple):
+    """How a call left the gate; `admitted` calls have to `leave` it again."""
+
+    admitted: bool
+    waited: timedelta
+    caller_gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GateLoad:
+    """How full the gate is: calls at the target and in the queue, and the limit."""
+
+    in_flight: int
+    waiting: int
+    limit: int
+
+
+class _Waiter:
+    """A call in the queue."""
+
+    __slots__ = ("granted", "signal", "withdrawn")
+
+    def __init__(self) -> None:
+        self.signal = Signal()
+        self.granted = False
+        self.withdrawn = False
+
+
+class Gate:
+    """The calls at one target and those that wait for it."""
+
+    def __init__(self, clock: Clock, pressure: Pressure) -> None:
+        self._clock = clock
+        self._pressure = pressure
+        self._limit = 0
+        self._in_flight = 0
+        self._waiting = 0
+        self._mean = _FIRST_MEAN
+        self._queue: list[tuple[Rank, int, _Waiter]] = []
+        self._numbers = itertools.count()
+        self._lock = threading.Lock()
+
+    def load(self) -> GateLoad:
+        """Return how full the gate is."""
+        return GateLoad(self._in_flight, self._waiting, self._limit)
+
+    def resize(self, slots: int) -> None:
+        """Take the number of calls that the target works on at once."""
+        with self._lock:
+            self._limit = max(1, int(slots * _USED_SHARE)) if slots else 0
+            self._grant()
+
+    def expected_wait(self) -> timedelta:
+        """Return how long a call that arrives now would wait."""
+        if self._in_flight < self._limit:
+            return timedelta()
+        return self._mean * ((self._waiting + 1) / max(1, self._limit))
+
+    def enter(self, rank: Rank, until: timedelta, watch: Watch) -> Entry:
+        """Admit a call, at the latest at `until`, or refuse it."""
+        arrived = self._clock.monotonic()
+        with self._lock:
+            self._pressure.note_arrival()
+            if self._in_flight < self._limit and not self._waiting:
+                self._in_flight += 1
+                self._pressure.note_start(timedelta())
+                return Entry(True, timedelta())
+            if arrived + self._wait_for(rank) > until:
+                self._pressure.note_refusal()
+                return Entry(False, timedelta())
+            waiter = _Waiter()
+            heapq.heappush(self._queue, (rank, next(self._numbers), waiter))
+            self._waiting += 1
+        return self._await(waiter, arrived, until, watch)
+
+    def leave(self, took: timedelta) -> None:
+        """Note the end of an admitted call that took so long at the target."""
+        with self._lock:
+            self._in_flight -= 1
+            assert self._in_flight >= 0, "a call left that was not admitted"
+            self._mean += (took - self._mean) * _SMOOTHING
+            self._grant()
+
+    def _await(
+        self, waiter: _Waiter, arrived: timedelta, until: timedelta, watch: Watch
+    ) -> Entry:
+        waited = watch.wait(waiter.signal.descriptor, until)
+        took = self._clock.monotonic() - arrived
+        with self._lock:
+            if waiter.granted:
+                entry = Entry(True, took, watch.gone)
+                self._pressure.note_start(took)
+            else:
+                waiter.withdrawn = True
+                self._waiting -= 1
+                self._pressure.note_refusal()
+                entry = Entry(False, took, waited is Waited.CALLER_GONE)
+        waiter.signal.close()
+        return entry
+
+    def _wait_for(self, rank: Rank) -> timedelta:
+        ahead = sum(1 for each in self._queue if each[0] <= rank)
+        return self._mean * ((ahead + 1) / max(1, self._limit))
+
+    def _grant(self) -> None:
+        while self._queue and self._in_flight < self._limit:
+            _, _, waiter = heapq.heappop(self._queue)
+            if waiter.withdrawn:
+                continue
+            waiter.granted = True
+            self._waiting -= 1
+            self._in_flight += 1
+            waiter.signal.raise_()
--- /dev/null
+++ b/src/cyclamenvane/mesh/message.py
@@ -0,0 +1,339 @@
+"""HTTP messages as a mesh node reads and writes them.
+
+`httptools` parses. `RequestReader` collects the requests of one connection, in
+order and each whole. `AnswerReader` collects the one answer that is awaited on
+a connection to a target. Heads are written as bytes once, and only completed
+with what differs for each hop.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+from http import HTTPStatus
+
+import httptools
+
+from .model import CallerLimits
+
+__all__ = [
+    "AnswerReader",
+    "HeaderNames",
+    "Headers",
+    "Problem",
+    "Request",
+    "RequestReader",
+    "find_header",
+    "render_answer_head",
+    "render_request_head",
+]
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# Headers that concern one connection only, and those written anew on each hop.
+_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """The headers that carry a call's identity and bounds, in lower case."""
+
+    attempt: bytes
+    remaining_ms: bytes
+    required_instance: bytes
+    origin_service: bytes
+    signature: bytes
+    not_run: bytes
+    instance: bytes
+
+
+class Problem(Enum):
+    """Why a connection's bytes are no request that can be served."""
+
+    MALFORMED = HTTPStatus.BAD_REQUEST
+    HEAD_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b"?")[0]
+
+
+class RequestReader:
+    """Parses the requests of one connection."""
+
+    def __init__(self, limits: CallerLimits) -> None:
+        self.limits = limits
+        self.ready: deque[Request] = deque()
+        self.problem: Problem | None = None
+        self.in_head = False
+        self.in_body = False
+        self.expects_continue = False
+        self.buffered = 0
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def feed(self, data: bytes) -> Problem | None:
+        """Take in bytes; whole requests appear in `ready`."""
+        if self.problem is None:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserError:
+                self.problem = self.problem or Problem.MALFORMED
+            except httptools.HttpParserUpgrade:
+                self.problem = Problem.MALFORMED
+        if self.in_head and self.problem is None:
+            self._head_bytes += len(data)
+            if self._head_bytes > 2 * self.limits.header_bytes:
+                self.problem = Problem.HEAD_TOO_LARGE
+        return self.problem
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of a request."""
+        self._reset()
+        self.in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser with the request's target, or a part of it."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header, and for each trailer."""
+        if not self.in_head:
+            return
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > self.limits.header_bytes:
+            self._fail(Problem.HEAD_TOO_LARGE)
+        name = name.lower()
+        if name == b"expect":
+            self.expects_continue = value.lower() == b"100-continue"
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of the head."""
+        self.in_head = False
+        self.in_body = True
+        length = find_header(self._headers, b"content-length")
+        if length is not None and int(length) > self.limits.body_bytes:
+            self._fail(Problem.BODY_TOO_LARGE)
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser with a piece of the body."""
+        self._body_bytes += len(data)
+        self.buffered += len(data)
+        if self._body_bytes > self.limits.body_bytes:
+            self._fail(Problem.BODY_TOO_LARGE)
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the last byte of a request."""
+        self.in_body = False
+        self.expects_continue = False
+        parser = self._parser
+        request = Request(
+            parser.get_method(),
+            self._url,
+            tuple(self._headers),
+            b"".join(self._body),
+            parser.should_keep_alive(),
+        )
+        self._body = []
+        self.ready.append(request)
+
+    def headers_so_far(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers of the request that is being read."""
+        return self._headers
+
+    def _fail(self, problem: Problem) -> None:
+        self.problem = problem
+        raise ValueError(problem)
+
+
+class AnswerReader:
+    """Parses the answer to one request.
+
+    `is_awaited` decides by an answer's head whether it belongs to the request.
+    An answer that does not is dropped, and the next one is read. Whatever
+    follows the awaited answer counts as surplus.
+    """
+
+    def __init__(
+        self,
+        method: bytes,
+        is_awaited: Callable[[int, list[tuple[bytes, bytes]]], bool],
+    ) -> None:
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.complete = False
+        self.malformed = False
+        self.surplus = False
+        self._is_awaited = is_awaited
+        self._head_complete = False
+        self._awaited = False
+        self._body: list[bytes] = []
+        self._no_body = method == b"HEAD"
+        self._length_known = False
+        self._keep_alive = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def body(self) -> bytes:
+        """The bytes of the body so far."""
+        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+
+    @property
+    def keep_alive(self) -> bool:
+        """Whether the target will read another request on the connection."""
+        return self._keep_alive and self._length_known and not self.surplus
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes of the connection."""
+        if self.complete:
+            self.surplus = True
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.malformed = not self.complete
+            self.surplus = True
+
+    def end(self) -> None:
+        """Note that the target ended the connection in order."""
+        # A body without a length ends with its connection.
+        if self._awaited and self._head_complete and not self._length_known:
+            self.complete = not self.malformed
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of an answer."""
+        if self.complete:
+            self.surplus = True
+            return
+        self.headers = []
+        self._body = []
+        self._head_complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header, and for each trailer."""
+        if not self._head_complete and not self.complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of the head."""
+        if self.complete:
+            return
+        self.status = self._parser.get_status_code()
+        self._head_complete = True
+        self._length_known = self._has_length()
+        # Interim answers carry nothing to tell them by.
+        self._awaited = self.status >= 200 and self._is_awaited(
+            self.status, self.headers
+        )
+        self.surplus = self.surplus or (self.status >= 200 and not self._awaited)
+        if self._no_body and self._awaited:
+            self.complete = True
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser with a piece of the body."""
+        if self._awaited and not self.complete:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the last byte of an answer."""
+        if self._awaited and not self.complete:
+            self.complete = True
+            self._keep_alive = self._parser.should_keep_alive()
+
+    def _has_length(self) -> bool:
+        if self.status < 200 or self.status in (204, 304):
+            return True
+        coding = find_header(self.headers, b"transfer-encoding")
+        if coding is not None:
+            return coding.lower().endswith(b"chunked")
+        return find_header(self.headers, b"content-length") is not None
+
+
+def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a header, whose name is in lower case."""
+    for each, value in headers:
+        if each == name:
+            return value
+    return None
+
+
+def render_request_head(
+    request: Request, names: HeaderNames, origin_service: bytes
+) -> bytes:
+    """Return the head that a target is sent, but for what each hop adds.
+
+    The hop adds the remaining time, the required instance and the length.
+    """
+    own = (names.remaining_ms, names.required_instance, names.origin_service)
+    lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+    lines += _render_headers(request.headers, own)
+    lines.append(names.origin_service + b": " + origin_service)
+    return b"\r\n".join(lines) + b"\r\n"
+
+
+def render_answer_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]], length: int
+) -> bytes:
+    """Return the head of an answer, but for the empty line at its end."""
+    lines = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown" % status]
+    lines += _render_headers(headers, ())
+    if status >= 200 and status != 204:
+        lines.append(b"Content-Length: %d" % length)
+    return b"\r\n".join(lines) + b"\r\n"
+
+
+def _render_headers(
+    headers: Iterable[tuple[bytes, bytes]], left_out: tuple[bytes, ...]
+) -> list[bytes]:
+    dropped = _HOP
+    connection = find_header(headers, b"connection")
+    if connection is not None:
+        named = (each.strip().lower() for each in connection.split(b","))
+        dropped = dropped.union(named)
+    return [
+        name + b": " + value
+        for name, value in headers
+        if name not in dropped and name not in left_out
+    ]
+
+
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}".encode()
+    for status in HTTPStatus
+}
--- /dev/null
+++ b/src/cyclamenvane/mesh/node.py
@@ -0,0 +1,346 @@
+"""A mesh node: its parts put together, started and stopped.
+
+node = MeshNode(settings, adapter, SystemClock())
+node.start()
+node.stop()
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import eliot
+from expression import Result
+
+from ..task import TaskPool
+from .acceptor import Acceptor
+from .admin import AdminApplication, AdminDialect, serve_admin
+from .budget import RetryBudget
+from .configuration import CurrentConfiguration
+from .delivery import Courier
+from .directory import Directory
+from .dispatch import Call, Dispatcher, Reply
+from .entrance import Entrance
+from .gate import Gate
+from .hosting import Host
+from .liaison import Liaison
+from .memory import BodyMemory
+from .message import HeaderNames, Request
+from .metric import Metrics
+from .model import Address, Configuration, MeshSettings, NodeRecord
+from .pause import sleep
+from .peering import PeerPool
+from .pressure import CalledServices, Pressure, PressureTable
+from .publication import NODES_TABLE, Publication, decode_record
+from .registration import Registration, TargetState
+from .rows import RowChange, RowStore
+from .subscription import Subscription
+from .upstream import Upstream
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+
+__all__ = ["MeshAdapter", "MeshNode"]
+
+_BODY_SHARE = 0.25  # of the process's memory, for bodies that are being read
+_THREADS = 1024  # about 40 KB each; calls beyond wait for a free one
+_LISTENER_SHARE = 0.35  # of the descriptors, for each listener's connections
+# Callers are sent elsewhere after two unanswered questions for readiness, which
+# come once a second.
+_NOTICE = timedelta(seconds=2.5)
+_EXIT_MARGIN = timedelta(milliseconds=700)  # before the platform kills the process
+_POLL = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, slots=True)
+class MeshAdapter:
+    """What a mesh node needs of a platform."""
+
+    names: HeaderNames
+    admin: AdminDialect
+    configuration_table: str
+    configuration_key: str
+    open_store: Callable[[Address], RowStore]
+    decode_configuration: Callable[[bytes], Result[Configuration, str]]
+
+
+class MeshNode:
+    """The node beside one target."""
+
+    def __init__(
+        self, settings: MeshSettings, adapter: MeshAdapter, clock: Clock
+    ) -> None:
+        self.settings = settings
+        self._adapter = adapter
+        self._clock = clock
+        self._run = int(clock.now().timestamp() * 1000)
+        self._stopping = False
+        self._contact: dict[str, bool] = {}
+        self.metrics = Metrics()
+        self.executor: ThreadPoolExecutor = TaskPool(_THREADS)
+        self.configuration = CurrentConfiguration(self._note_configuration)
+        self.registration = Registration(
+            settings.service, settings.target, self._note_target
+        )
+        self.directory = Directory(settings.node, clock)
+        self.pressure = PressureTable(clock)
+        self._called = CalledServices(self.pressure, clock)
+        self._peers = PeerPool(clock)
+        own_pressure = Pressure(clock)
+        self.gate = Gate(clock, own_pressure)
+        self._upstream = Upstream(settings.target, adapter.names, clock)
+        self.courier = Courier(
+            self.registration,
+            self.gate,
+            own_pressure,
+            self._upstream,
+            adapter.names,
+            clock,
+            self.metrics,
+            self._called.pressure,
+            self.configuration.version,
+        )
+        self.liaison = Liaison(
+            self.record,
+            self.directory,
+            self._peers,
+            self.configuration,
+            adapter.decode_configuration,
+            clock,
+            sleep,
+        )
+        self.dispatcher = self._make_dispatcher()
+        self.entrance = self._make_entrance()
+        self._publication = Publication(
+            adapter.open_store(settings.store), self.record, sleep
+        )
+        self._acceptors = self._make_acceptors()
+
+    def record(self) -> NodeRecord:
+        """Return what this node publishes of itself."""
+        settings, state = self.settings, self.registration.state()
+        return NodeRecord(
+            settings.node,
+            self._run,
+            settings.zone,
+            settings.peer_listener,
+            settings.service,
+            state.heartbeat.slots if state else 0,
+            self._stopping or state is None or not state.serving,
+            state.heartbeat.incarnation if state else None,
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return not self._stopping and self.configuration.current() is not None
+
+    def start(self) -> None:
+        """Start all tasks; raises OSError when an address cannot be used."""
+        application = AdminApplication(
+            self._adapter.admin,
+            self.registration,
+            self.is_ready,
+            self.metrics,
+            self._refresh_metrics,
+        )
+        listeners = (
+            self.settings.readiness_listener,
+            self.settings.admin_listener,
+            (self.settings.peer_listener[0], self._adapter.admin.metrics_port),
+        )
+        self.executor.submit(serve_admin, application, listeners)
+        for acceptor in self._acceptors:
+            self.executor.submit(acceptor.run)
+        self.executor.submit(self._watch_configuration().run)
+        self.executor.submit(self._watch_nodes().run)
+        self.executor.submit(self._publication.run)
+        self.executor.submit(self.liaison.run)
+
+    def stop(self) -> bool:
+        """Finish the calls under way; return whether all have ended."""
+        began = self._clock.monotonic()
+        self._stopping = self.courier.stopping = self.entrance.closing = True
+        eliot.log_message("node:stopping")
+        last = began + self.settings.grace - _EXIT_MARGIN
+        notice = min(began + _NOTICE, last)
+        while self._clock.monotonic() < last:
+            idle = not self.entrance.in_flight() and not self.gate.load().in_flight
+            if idle and self._clock.monotonic() >= notice:
+                return True
+            time.sleep(_POLL.total_seconds())
+        return False
+
+    def _make_dispatcher(self) -> Dispatcher:
+        settings = self.settings
+        budget = RetryBudget(
+            settings.budget_ratio,
+            settings.budget_slack,
+            settings.budget_window,
+            self._clock,
+        )
+        return Dispatcher(
+            self.record,
+            self.directory,
+            self.courier,
+            self._peers.deliver,
+            budget,
+            self.pressure,
+            self._clock,
+            self.metrics,
+            self.configuration.version,
+            self.liaison.note_newer_version,
+            self._lowest_priority,
+        )
+
+    def _make_entrance(self) -> Entrance:
+        return Entrance(
+            self.dispatcher.serve,
+            self.configuration,
+            self._adapter.names,
+            lambda: self.settings.service,
+            self._is_own_target,
+            self.executor,
+            BodyMemory(int(self.settings.memory_bytes * _BODY_SHARE)),
+            self._clock,
+            self.metrics,
+            self._note_done,
+        )
+
+    def _make_acceptors(self) -> tuple[Acceptor, ...]:
+        settings = self.settings
+        most = int(settings.descriptors * _LISTENER_SHARE)
+        host = Host(
+            self.courier,
+            self._clock,
+            self.liaison,
+            self._find_address,
+            self.configuration.version,
+        )
+        return (
+            Acceptor(
+                settings.caller_listener, self.entrance.serve, self.executor, most
+            ),
+            Acceptor(settings.peer_listener, host.serve, self.executor, most),
+        )
+
+    def _watch_configuration(self) -> Subscription:
+        adapter = self._adapter
+        return Subscription(
+            adapter.open_store(self.settings.store),
+            adapter.configuration_table,
+            lambda: [""],
+            self._take_configurations,
+            lambda change: self._take_configurations([change]),
+            self._note_contact,
+            sleep,
+        )
+
+    def _watch_nodes(self) -> Subscription:
+        return Subscription(
+            self._adapter.open_store(self.settings.store),
+            NODES_TABLE,
+            lambda: self.settings.zones,
+            self._take_all_nodes,
+            self._take_node,
+            self._note_contact,
+            sleep,
+        )
+
+    def _take_configurations(self, changes: list[RowChange]) -> None:
+        for change in changes:
+            if change.key != self._adapter.configuration_key or change.row is None:
+                continue
+            decoded = self._adapter.decode_configuration(change.row.value)
+            if decoded.is_error():
+                eliot.log_message("configuration:invalid", error=decoded.error)
+            else:
+                self.configuration.take(decoded.ok)
+
+    def _take_all_nodes(self, changes: list[RowChange]) -> None:
+        found = {change.key for change in changes}
+        for change in changes:
+            self._take_node(change)
+        for peer in self.directory.peers():
+            if peer.record.node not in found:
+                self.directory.drop(peer.record.node)
+        if self.settings.node not in found:
+            self._publication.note_change()
+
+    def _take_node(self, change: RowChange) -> None:
+        if change.row is None:
+            if self.directory.drop(change.key):
+                eliot.log_message("node:removed", node=change.key)
+            return
+        record = decode_record(change.row.value)
+        if record is None or record.node != change.key:
+            eliot.log_message("node:record_invalid", key=change.key)
+        else:
+            self.liaison.note_record(record)
+
+    def _note_target(self, state: TargetState) -> None:
+        beat = state.heartbeat
+        self.gate.resize(beat.slots)
+        if not state.serving:
+            self._upstream.close_idle()
+        self._publication.note_change()
+        eliot.log_message(
+            "target:changed",
+            instance=beat.incarnation.instance,
+            born=beat.incarnation.born_ms,
+            sequence=beat.sequence,
+            slots=beat.slots,
+            serving=state.serving,
+        )
+
+    def _note_configuration(self, configuration: Configuration) -> None:
+        eliot.log_message(
+            "configuration:in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    def _note_contact(self, reached: bool, detail: str) -> None:
+        self.metrics.note_store(reached)
+        table = detail.partition(":")[0]
+        if self._contact.get(table) != reached:
+            self._contact[table] = reached
+            name = "store:reached" if reached else "store:lost"
+            eliot.log_message(name, detail=detail)
+
+    def _find_address(self, sock: socket.socket) -> Address:
+        # All nodes listen on the same port for each other.
+        return sock.getpeername()[0], self.settings.peer_listener[1]
+
+    def _note_done(
+        self, call: Call | None, request: Request, reply: Reply, arrived: timedelta
+    ) -> None:
+        took = self._clock.monotonic() - arrived
+        self.metrics.note_reply(reply, took)
+        if call is not None and not call.begins_work:
+            self._called.note(reply.service)
+
+    def _is_own_target(self, sock: socket.socket) -> bool:
+        return sock.getpeername()[0] in (self.settings.target[0], "127.0.0.1")
+
+    def _lowest_priority(self) -> int:
+        table = self.configuration.current()
+        return table.lowest_priority if table else 0
+
+    def _refresh_metrics(self) -> None:
+        load = self.gate.load()
+        set_state: Callable[[str, Any], None] = self.metrics.set_state
+        set_state("in_flight", load.in_flight)
+        set_state("waiting", load.waiting)
+        set_state("limit", load.limit)
+        set_state("pressure", self.courier.load().pressure)
+        set_state("configuration_version", self.configuration.version())
+        set_state("nodes_known", len(self.directory.peers()) + 1)
+        for name, acceptor in zip(("caller", "peer"), self._acceptors):
+            set_state(f"{name}_connections", acceptor.count())
+            set_state(f"{name}_connections_turned_away", acceptor.turned_away)
--- /dev/null
+++ b/src/cyclamenvane/mesh/placement.py
@@ -0,0 +1,68 @@
+"""The choice of a target for one call.
+
+Targets of the own zone go first, the one with the most room. A call leaves the
+zone only when its own targets are nearly full and another zone has clearly more
+room, since bytes between zones cost time and money.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from datetime import timedelta
+
+from .directory import Peer
+from .model import Route
+
+__all__ = ["choose_peer", "choose_service"]
+
+_FULL = 0.9  # share of a target's room beyond which other zones are looked at
+_MARGIN = 0.2  # room that another zone must have more
+_FAULT_WEIGHT = 0.25  # share of a target's room that one recent fault stands for
+_CHOICES = 3  # targets compared; more would send all nodes to the same one
+
+
+def choose_service(route: Route, draw: float) -> str:
+    """Return the service for a call, by the weights; `draw` lies in [0, 1)."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    point = draw * sum(share.weight for share in route.shares)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def choose_peer(
+    peers: Sequence[Peer],
+    own_zone: str,
+    tried: Collection[str],
+    now: timedelta,
+    sample: Callable[[Sequence[Peer], int], list[Peer]] = random.sample,
+) -> Peer | None:
+    """Return the target for a call, or None when none can be used."""
+    near: list[Peer] = []
+    far: list[Peer] = []
+    for peer in peers:
+        if peer.record.node not in tried and peer.is_usable(now):
+            (near if peer.record.zone == own_zone else far).append(peer)
+    best = _least_used(near, sample)
+    if best is not None and _weigh(best) < _FULL:
+        return best
+    other = _least_used(far, sample)
+    if best is None or other is None:
+        return best or other
+    return other if _weigh(other) < _weigh(best) - _MARGIN else best
+
+
+def _least_used(
+    peers: list[Peer], sample: Callable[[Sequence[Peer], int], list[Peer]]
+) -> Peer | None:
+    if len(peers) > _CHOICES:
+        peers = sample(peers, _CHOICES)
+    return min(peers, key=_weigh, default=None)
+
+
+def _weigh(peer: Peer) -> float:
+    return peer.used_share() + peer.faults * _FAULT_WEIGHT
--- /dev/null
+++ b/src/cyclamenvane/mesh/registration.py
@@ -0,0 +1,148 @@
+"""What the node knows of the target beside it, from the target's heartbeats.
+
+Heartbeats are ordered by the target's own start and sequence, never by arrival.
+Once a target has announced its end, nothing that the same incarnation sent
+before brings it back.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .order import Reason
+
+if TYPE_CHECKING:
+    from .model import Address, Heartbeat, Incarnation
+
+__all__ = ["HeartbeatVerdict", "Registration", "TargetState"]
+
+_OLD_INCARNATIONS = 64  # ended ones whose late heartbeats are recognised
+
+
+@dataclass(frozen=True, slots=True)
+class TargetState:
+    """The newest heartbeat, and whether the target has announced its end."""
+
+    heartbeat: Heartbeat
+    ended: bool
+
+    @property
+    def serving(self) -> bool:
+        """Whether the target takes new calls."""
+        return not self.ended and not self.heartbeat.draining
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatVerdict:
+    """Whether a heartbeat was taken, and why not."""
+
+    taken: bool
+    detail: str = ""
+
+
+class Registration:
+    """The target beside the node."""
+
+    def __init__(
+        self,
+        service: str,
+        address: Address,
+        on_change: Callable[[TargetState], None],
+    ) -> None:
+        self.service = service
+        self._address = address
+        self._on_change = on_change
+        self._state: TargetState | None = None
+        self._ended: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def state(self) -> TargetState | None:
+        """Return what is known of the target."""
+        return self._state
+
+    def is_serving(self) -> bool:
+        """Return whether the target takes new calls."""
+        state = self._state
+        return state is not None and state.serving
+
+    def serving_incarnation(self) -> Incarnation | None:
+        """Return the incarnation that calls may be sent to, if any."""
+        state = self._state
+        if state is None or not state.serving:
+            return None
+        return state.heartbeat.incarnation
+
+    def refusal(self) -> Reason:
+        """Return why the target takes no new calls."""
+        return Reason.NO_TARGET if self._state is None else Reason.LEAVING
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
+        """Take a heartbeat, unless it is late or not of this node's target."""
+        if heartbeat.service != self.service or heartbeat.address != self._address:
+            return HeartbeatVerdict(False, "not the target of this node")
+        with self._lock:
+            detail = self._find_fault(heartbeat)
+            if detail:
+                return HeartbeatVerdict(False, detail)
+            before = self._state
+            self._state = TargetState(heartbeat, ended=False)
+            if heartbeat.draining:
+                self._remember_end(heartbeat.incarnation)
+        if before is None or _differs(before, self._state):
+            self._on_change(self._state)
+        return HeartbeatVerdict(True)
+
+    def note_end(self, instance: str) -> bool:
+        """Take a target's word that it ends; return whether it was known."""
+        with self._lock:
+            state = self._state
+            if state is None or state.heartbeat.incarnation.instance != instance:
+                # Without its start a later incarnation cannot be told apart; all
+                # that are known by now under this id have ended.
+                self._ended.setdefault(instance, 0)
+                return False
+            self._remember_end(state.heartbeat.incarnation)
+            changed = not state.ended
+            self._state = TargetState(state.heartbeat, ended=True)
+        if changed:
+            self._on_change(self._state)
+        return True
+
+    def _find_fault(self, heartbeat: Heartbeat) -> str:
+        incarnation = heartbeat.incarnation
+        ended = self._ended.get(incarnation.instance)
+        if ended == 0 and not heartbeat.draining:
+            self._ended[incarnation.instance] = incarnation.born_ms
+            return "the target has ended"
+        if ended is not None and incarnation.born_ms <= ended:
+            if not heartbeat.draining:
+                return "the target has announced its end"
+        known = self._state
+        if known is None:
+            return ""
+        newest = known.heartbeat
+        if incarnation.born_ms < newest.incarnation.born_ms:
+            return "sent by an earlier incarnation"
+        if incarnation == newest.incarnation:
+            if heartbeat.sequence <= newest.sequence:
+                return "late"
+            if known.ended:
+                return "the target has ended"
+        return ""
+
+    def _remember_end(self, incarnation: Incarnation) -> None:
+        self._ended[incarnation.instance] = incarnation.born_ms
+        while len(self._ended) > _OLD_INCARNATIONS:
+            del self._ended[next(iter(self._ended))]
+
+
+def _differs(before: TargetState, after: TargetState) -> bool:
+    old, new = before.heartbeat, after.heartbeat
+    return (
+        before.serving != after.serving
+        or old.incarnation != new.incarnation
+        or old.slots != new.slots
+    )
--- /dev/null
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -0,0 +1,187 @@
+"""The connections to the target beside the node, and one exchange on them.
+
+A connection carries one request at a time. It is kept for the next one only
+when the answer ended where its length said and nothing followed.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .connection import RECEIVE_BYTES, is_quiet, open_connection, send_all
+from .message import AnswerReader, HeaderNames, Headers, find_header
+from .watch import Waited, Watch
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from .model import Address
+
+__all__ = ["Exchange", "ExchangeEnd", "Upstream"]
+
+# The target is on the same VM: an open port answers at once.
+_CONNECT_TIMEOUT = timedelta(milliseconds=250)
+# Targets close idle connections after a time they seldom tell; a request that
+# crosses the close may have run.
+_LONGEST_IDLE = timedelta(seconds=3)
+_IDLE_SHARE = 0.5  # of the idle time that a target tells
+
+
+class ExchangeEnd(Enum):
+    """How an exchange with the target ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    BROKEN = "broken"
+    TIMED_OUT = "timed out"
+    CALLER_GONE = "caller gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """An exchange's end, and the answer if there is one."""
+
+    end: ExchangeEnd
+    status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Idle:
+    sock: socket.socket
+    until: timedelta
+
+
+class Upstream:
+    """The target's connections."""
+
+    def __init__(self, address: Address, names: HeaderNames, clock: Clock) -> None:
+        self._address = address
+        self._names = names
+        self._clock = clock
+        self._idle: deque[_Idle] = deque()
+        self._lock = threading.Lock()
+        self.opened = 0
+
+    def exchange(
+        self,
+        head: bytes,
+        body: bytes,
+        attempt: bytes | None,
+        watch: Watch,
+        until: timedelta,
+    ) -> Exchange:
+        """Send one request and read its answer."""
+        sock = self._take_idle()
+        if sock is None:
+            try:
+                sock = open_connection(self._address, _CONNECT_TIMEOUT)
+            except OSError as error:
+                return Exchange(ExchangeEnd.NOT_SENT, detail=f"connect: {error}")
+            self.opened += 1
+        method = head[: head.find(b" ")]
+        reader = AnswerReader(method, self._awaits(attempt))
+        keep = False
+        try:
+            waited, sent = send_all(sock, head + body, watch, until)
+            if waited is not Waited.READY:
+                return _end_early(waited)
+            ended = self._read(sock, reader, watch, until)
+            if ended.end is ExchangeEnd.ANSWERED:
+                whole = sent == len(head) + len(body)
+                keep = whole and reader.keep_alive
+            return ended
+        except OSError as error:
+            return Exchange(ExchangeEnd.BROKEN, detail=str(error))
+        finally:
+            if keep:
+                self._keep(sock, reader.headers)
+            else:
+                sock.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+        with self._lock:
+            idle, self._idle = self._idle, deque()
+        for each in idle:
+            each.sock.close()
+
+    def _read(
+        self,
+        sock: socket.socket,
+        reader: AnswerReader,
+        watch: Watch,
+        until: timedelta,
+    ) -> Exchange:
+        while not reader.complete:
+            waited = watch.wait(sock.fileno(), until)
+            if waited is not Waited.READY:
+                return _end_early(waited)
+            data = sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            if data:
+                reader.feed(data)
+            else:
+                reader.end()
+                if not reader.complete:
+                    return Exchange(ExchangeEnd.BROKEN, detail="ended early")
+            if reader.malformed:
+                return Exchange(ExchangeEnd.BROKEN, detail="not HTTP")
+        return Exchange(
+            ExchangeEnd.ANSWERED, reader.status, tuple(reader.headers), reader.body
+        )
+
+    def _awaits(
+        self, attempt: bytes | None
+    ) -> Callable[[int, list[tuple[bytes, bytes]]], bool]:
+        def is_awaited(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+            echoed = find_header(headers, self._names.attempt)
+            # A target that refuses early does not always name the attempt.
+            return echoed == attempt or (echoed is None and status >= 400)
+
+        return is_awaited
+
+    def _take_idle(self) -> socket.socket | None:
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                idle = self._idle.pop()
+            if idle.until > self._clock.monotonic() and is_quiet(idle.sock):
+                return idle.sock
+            idle.sock.close()
+
+    def _keep(self, sock: socket.socket, headers: list[tuple[bytes, bytes]]) -> None:
+        longest = _LONGEST_IDLE
+        told = find_header(headers, b"keep-alive")
+        if told is not None:
+            longest = _read_idle_time(told) or longest
+        idle = _Idle(sock, self._clock.monotonic() + longest)
+        expired = []
+        with self._lock:
+            while self._idle and self._idle[0].until < self._clock.monotonic():
+                expired.append(self._idle.popleft())
+            self._idle.append(idle)
+        for each in expired:
+            each.sock.close()
+
+
+def _read_idle_time(value: bytes) -> timedelta | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return timedelta(seconds=int(number)) * _IDLE_SHARE
+    return None
+
+
+def _end_early(waited: Waited) -> Exchange:
+    if waited is Waited.CALLER_GONE:
+        return Exchange(ExchangeEnd.CALLER_GONE)
+    return Exchange(ExchangeEnd.TIMED_OUT)
--- a/src/cyclamenvane/node/joining.py
+++ b/src/cyclamenvane/node/joining.py
@@ -31,9 +31,9 @@
 
     from ..audit import ActionLog
     from ..clock import Clock
-    from ..platform import Table
     from ..policy import Spread
     from ..routing import PeerPool
+    from ..store import Table
 
 __all__ = ["Joining", "answer_differing", "pack_members", "unpack_members"]
 
--- a/src/cyclamenvane/node/node.py
+++ b/src/cyclamenvane/node/node.py
@@ -38,6 +38,7 @@
     Router,
 )
 from ..settings import Settings, split_address
+from ..task import TaskPool, stop_process
 from ..wire import ROLE_NODE, StreamServer
 from .control import Control
 from .execution import Execution
@@ -47,11 +48,10 @@
 from .metric import CallMetrics
 from .serving import Answering, Serving, make_key_finder
 from .target import LocalTargets
-from .task import TaskPool, stop_process
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..platform import Platform
+    from ..store import Platform
 
 __all__ = ["Node"]
 
--- a/src/cyclamenvane/platform/__init__.py
+++ b/src/cyclamenvane/platform/__init__.py
@@ -1,27 +1,17 @@
-"""The platform's transactional table and object store."""
+"""The users' platform: its names, formats and calls, and nothing that decides.
+
+`make_adapter` returns what a `MeshNode` needs to run there, and
+`read_mesh_settings` reads the settings file that the platform provides.
+"""
 
 from __future__ import annotations
 
-from .interface import (
-    ANY_VERSION,
-    Failure,
-    ObjectStore,
-    Platform,
-    PlatformError,
-    Row,
-    Table,
-    Write,
-)
-from .memory import MemoryPlatform
+from .adapter import make_adapter
+from .settings import SETTINGS_VARIABLE, parse_mesh_settings, read_mesh_settings
 
 __all__ = [
-    "ANY_VERSION",
-    "Failure",
-    "MemoryPlatform",
-    "ObjectStore",
-    "Platform",
-    "PlatformError",
-    "Row",
-    "Table",
-    "Write",
+    "SETTINGS_VARIABLE",
+    "make_adapter",
+    "parse_mesh_settings",
+    "read_mesh_settings",
 ]
--- /dev/null
+++ b/src/cyclamenvane/platform/adapter.py
@@ -0,0 +1,35 @@
+"""Puts the adapter together: paths, tables, decoders and the store's client."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from ..mesh.admin import AdminDialect
+from ..mesh.node import MeshAdapter
+from .documents import decode_configuration, decode_heartbeat
+from .headers import HEADERS
+from .store import RowsClient
+
+__all__ = ["make_adapter"]
+
+# Much longer than a transaction, shorter than the time a caller waits.
+_STORE_TIMEOUT = timedelta(seconds=1)
+_METRICS_PORT = 9464  # also named in deploy/system.toml
+
+
+def make_adapter() -> MeshAdapter:
+    """Return the adapter of the users' platform."""
+    return MeshAdapter(
+        names=HEADERS,
+        admin=AdminDialect(
+            readiness_path="/api/ready",
+            heartbeat_prefix="/api/endpoints/",
+            metrics_path="/metrics",
+            metrics_port=_METRICS_PORT,
+            decode_heartbeat=decode_heartbeat,
+        ),
+        configuration_table="op",
+        configuration_key="config",
+        open_store=lambda address: RowsClient(address, _STORE_TIMEOUT),
+        decode_configuration=decode_configuration,
+    )
--- /dev/null
+++ b/src/cyclamenvane/platform/daemon.py
@@ -0,0 +1,58 @@
+"""The program that the platform runs on each VM, a mesh node.
+
+Run it with `python -m cyclamenvane.platform.daemon`.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+from types import FrameType
+
+import eliot
+
+from ..clock import SystemClock
+from ..mesh import MeshNode
+from .adapter import make_adapter
+from .settings import SETTINGS_VARIABLE, read_mesh_settings
+
+__all__ = ["main"]
+
+_EXIT_SETTINGS = 78  # EX_CONFIG of sysexits.h
+# Tasks are woken for each hop of a call; a long turn would delay the others.
+_SWITCH_S = 0.002
+
+
+def main() -> int:
+    """Run a node until SIGTERM; return the exit status."""
+    eliot.to_file(sys.stdout)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    found = read_mesh_settings(Path(path))
+    if found.is_error():
+        for problem in found.error:
+            eliot.log_message("settings:invalid", problem=problem)
+        return _EXIT_SETTINGS
+    ended = threading.Event()
+
+    def end(number: int, frame: FrameType | None) -> None:
+        ended.set()
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.setswitchinterval(_SWITCH_S)
+    node = MeshNode(found.ok, make_adapter(), SystemClock())
+    node.start()
+    eliot.log_message("node:start", node=found.ok.node, service=found.ok.service)
+    ended.wait()
+    clean = node.stop()
+    eliot.log_message("node:stop", clean=clean)
+    sys.stdout.flush()
+    # Tasks that wait for the next request or answer would hold the process.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cyclamenvane/platform/store.py
@@ -0,0 +1,153 @@
+"""The platform's store of rows, over HTTP with JSON bodies.
+
+One `RowsClient` holds one connection and serves one task. A call that breaks
+after it was sent has an unknown outcome: the store may perform it later, so
+writes carry the version that the row must still have.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import http.client
+import socket
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+from urllib.parse import urlencode
+
+import orjson
+from expression import Error, Ok, Result
+
+from ..mesh.keepalive import enable_keepalive
+from ..mesh.model import Address
+from ..mesh.rows import Change, RowChange, RowsError, RowsFailure, RowsPage, StoredRow
+
+__all__ = ["RowsClient"]
+
+_PAGE_ROWS = 500  # the most that the store returns in one answer
+_FAILURES = {
+    410: RowsFailure.HISTORY_GONE,
+    412: RowsFailure.CONFLICT,
+    429: RowsFailure.UNAVAILABLE,
+    503: RowsFailure.UNAVAILABLE,
+}
+_BROKEN = (OSError, http.client.HTTPException)
+
+
+class RowsClient:
+    """Reads, watches and writes rows."""
+
+    def __init__(self, address: Address, timeout: timedelta) -> None:
+        self._address = address
+        self._timeout = timeout.total_seconds()
+        self._connection: http.client.HTTPConnection | None = None
+
+    def read(self, table: str, part: str) -> Result[RowsPage, RowsError]:
+        """Return all rows of a part, as of one version or a later one."""
+        rows: list[StoredRow] = []
+        start, version = "", 0
+        while True:
+            query = {"table": table, "part": part, "limit": _PAGE_ROWS}
+            if start:
+                query["rangeStart"] = start
+            answer = self._call("GET", "/api/rows-get", query)
+            if answer.is_error():
+                return Error(answer.error)
+            page = _decode_page(answer.ok)
+            if page.is_error():
+                return Error(page.error)
+            rows += [change.row for change in page.ok.changes if change.row]
+            # Watching from the first page's version misses nothing of later pages.
+            version = version or page.ok.version
+            if not answer.ok.get("hasMore") or not page.ok.changes:
+                break
+            start = page.ok.changes[-1].key + "\0"
+        changes = tuple(RowChange(row.part, row.key, row) for row in rows)
+        return Ok(RowsPage(changes, version))
+
+    def watch(
+        self, table: str, after: int, wait: timedelta
+    ) -> Result[RowsPage, RowsError]:
+        """Wait for changes of a table that are newer than version `after`."""
+        milliseconds = int(wait.total_seconds() * 1000)
+        query = {"table": table, "after": after, "waitMs": milliseconds}
+        return self._call("GET", "/api/rows-feed", query, wait).bind(_decode_page)
+
+    def write(self, changes: Sequence[Change]) -> Result[int, RowsError]:
+        """Make all the changes of one part, or none; return the new version."""
+        entries = {"precondition": [], "puts": [], "deletes": []}
+        for change in changes:
+            place = {"table": change.table, "part": change.part, "key": change.key}
+            if change.expected is not None:
+                entries["precondition"].append(place | {"rowVersion": change.expected})
+            if change.value is None:
+                entries["deletes"].append(place)
+            else:
+                text = base64.b64encode(change.value).decode()
+                entries["puts"].append(place | {"value": text})
+        answer = self._call("POST", "/api/rows-tx", {}, body=orjson.dumps(entries))
+        return answer.map(lambda document: int(document.get("rowVersion", 0)))
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        wait: timedelta = timedelta(),
+        body: bytes | None = None,
+    ) -> Result[dict[str, Any], RowsError]:
+        target = f"{path}?{urlencode(query)}" if query else path
+        headers = {"Content-Type": "application/json"} if body else {}
+        sent = False
+        try:
+            connection = self._connect(self._timeout + wait.total_seconds())
+            sent = True
+            connection.request(method, target, body, headers)
+            response = connection.getresponse()
+            data = response.read()
+        except _BROKEN as error:
+            self.close()
+            failure = RowsFailure.UNKNOWN if sent else RowsFailure.UNAVAILABLE
+            return Error(RowsError(failure, repr(error)))
+        if response.status != 200:
+            failure = _FAILURES.get(response.status, RowsFailure.REJECTED)
+            detail = data[:200].decode(errors="replace")
+            return Error(RowsError(failure, f"{response.status} {detail}"))
+        try:
+            return Ok(orjson.loads(data))
+        except orjson.JSONDecodeError as error:
+            self.close()
+            return Error(RowsError(RowsFailure.UNKNOWN, repr(error)))
+
+    def _connect(self, timeout: float) -> http.client.HTTPConnection:
+        if self._connection is None:
+            connection = http.client.HTTPConnection(*self._address, timeout=timeout)
+            connection.connect()
+            enable_keepalive(connection.sock)
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connection = connection
+        self._connection.sock.settimeout(timeout)
+        return self._connection
+
+
+def _decode_page(document: dict[str, Any]) -> Result[RowsPage, RowsError]:
+    try:
+        changes = tuple(_decode_row(each) for each in document["rows"])
+        return Ok(RowsPage(changes, int(document["rowVersion"])))
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        return Error(RowsError(RowsFailure.REJECTED, repr(error)))
+
+
+def _decode_row(document: dict[str, Any]) -> RowChange:
+    part, key = document.get("part", ""), document["key"]
+    if document.get("deleted"):
+        return RowChange(part, key, None)
+    value = base64.b64decode(document["value"])
+    return RowChange(part, key, StoredRow(part, key, value, document["rowVersion"]))
--- a/src/cyclamenvane/policy/acceptance.py
+++ b/src/cyclamenvane/policy/acceptance.py
@@ -17,7 +17,7 @@
 from expression import Error, Ok, Result
 
 from ..audit import AuditEntry, dump_entry, load_entry, name_change
-from ..platform import Failure, PlatformError, Row, Table, Write
+from ..store import Failure, PlatformError, Row, Table, Write
 from .section import Section, pack_section, unpack_section
 
 if TYPE_CHECKING:
--- a/src/cyclamenvane/policy/spread.py
+++ b/src/cyclamenvane/policy/spread.py
@@ -17,7 +17,7 @@
 
 import msgpack
 
-from ..platform import Table
+from ..store import Table
 from .acceptance import read_head, read_sections
 from .section import Section, SectionTable, pack_section, unpack_section
 
--- a/src/cyclamenvane/routing/keyed.py
+++ b/src/cyclamenvane/routing/keyed.py
@@ -33,7 +33,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..platform import Table
+    from ..store import Table
 
 __all__ = ["EpochBook", "KeyedRouter"]
 
--- a/src/cyclamenvane/standins/platform.py
+++ b/src/cyclamenvane/standins/platform.py
@@ -16,7 +16,7 @@
 from waitress.server import create_server
 
 from ..clock import SystemClock
-from ..platform import Failure, MemoryPlatform, PlatformError, Row, Write
+from ..store import Failure, MemoryPlatform, PlatformError, Row, Write
 
 __all__ = ["PlatformStandIn"]
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -12,9 +12,9 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.node import Node
-from cyclamenvane.platform import MemoryPlatform, Platform
 from cyclamenvane.settings import KeySettings, NodeSettings, Settings
 from cyclamenvane.standins import TargetStandIn
+from cyclamenvane.store import MemoryPlatform, Platform
 from cyclamenvane.wire import derive_credential
 
 KEYS = KeySettings(
--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -4,7 +4,7 @@
 
 from expression import Error
 
-from cyclamenvane.platform import Failure, MemoryPlatform, PlatformError
+from cyclamenvane.store import Failure, MemoryPlatform, PlatformError
 
 DOWN = PlatformError(Failure.UNAVAILABLE, "down")
 LOST = PlatformError(Failure.UNKNOWN, "the answer was lost")
--- a/tests/platform/test_http.py
+++ b/tests/store/test_http.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from cyclamenvane.platform import Failure, Write
-from cyclamenvane.platform.http import HttpPlatform
 from cyclamenvane.settings import split_address
 from cyclamenvane.standins import PlatformStandIn
+from cyclamenvane.store import Failure, Write
+from cyclamenvane.store.http import HttpPlatform
 
 TIMEOUT = timedelta(seconds=10)
 
