--- a/deploy/node.py
+++ b/deploy/node.py
@@ -10,4 +10,4 @@
 from cyclamenvane.platform.daemon import main  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -35,15 +35,18 @@
         self._most = most
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
+        self._ended = False
         self.accepted = 0
         self.turned_away = 0
 
     def run(self) -> None:
         """Accept until the process ends."""
-        while True:
+        while not self._ended:
             try:
                 sock, _ = self._listener.accept()
             except OSError as error:
+                if self._ended:
+                    return
                 eliot.log_message("mesh:accept_failed", error=str(error))
                 continue
             if len(self._open) >= self._most:
@@ -55,6 +58,14 @@
                 self._open.add(sock)
             self._executor.submit(self._serve_one, sock)
 
+    def close(self) -> None:
+        """Stop accepting, and break the open connections."""
+        self._ended = True
+        with self._lock:
+            for sock in (self._listener, *self._open):
+                _break(sock)
+        self._listener.close()
+
     def count(self) -> int:
         """Return how many connections are open."""
         return len(self._open)
@@ -66,3 +77,11 @@
             with self._lock:
                 self._open.discard(sock)
             sock.close()
+
+
+def _break(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The other side was quicker.
+        return
--- a/src/cyclamenvane/mesh/admin.py
+++ b/src/cyclamenvane/mesh/admin.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -14,16 +15,18 @@
 import waitress
 from expression import Result
 from prometheus_client import generate_latest
+from waitress import wasyncore
 
 if TYPE_CHECKING:
     from .metric import Metrics
     from .model import Address, Heartbeat
     from .registration import Registration
 
-__all__ = ["AdminApplication", "AdminDialect", "serve_admin"]
+__all__ = ["AdminApplication", "AdminDialect", "AdminServer"]
 
 _THREADS = 2  # a heartbeat and a question for readiness at the same time
 _LARGEST_HEARTBEAT = 64 * 1024
+_LOOP_S = 1.0  # how late the end is noticed while nothing arrives
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,10 +106,26 @@
         return "200 OK", b"{}"
 
 
-def serve_admin(application: AdminApplication, addresses: Iterable[Address]) -> None:
-    """Serve the application until the process ends; raises OSError."""
-    listen = " ".join(f"{host}:{port}" for host, port in addresses)
-    server = waitress.create_server(
-        application, listen=listen, threads=_THREADS, ident=None
-    )
-    server.run()
+class AdminServer:
+    """Serves the application; raises OSError when an address is taken."""
+
+    def __init__(
+        self, application: AdminApplication, addresses: Iterable[Address]
+    ) -> None:
+        listen = " ".join(f"{host}:{port}" for host, port in addresses)
+        self._sockets: dict[int, Any] = {}
+        self._server = waitress.create_server(
+            application, map=self._sockets, listen=listen, threads=_THREADS, ident=None
+        )
+        self._ended = threading.Event()
+
+    def run(self) -> None:
+        """Serve until `close`."""
+        while not self._ended.is_set():
+            wasyncore.loop(_LOOP_S, use_poll=True, map=self._sockets, count=1)
+        self._server.task_dispatcher.shutdown()
+        wasyncore.close_all(self._sockets)
+
+    def close(self) -> None:
+        """End the serving task."""
+        self._ended.set()
--- a/src/cyclamenvane/mesh/delivery.py
+++ b/src/cyclamenvane/mesh/delivery.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from .log import CallLog
     from .metric import Metrics
     from .registration import Registration
 
@@ -47,6 +48,7 @@
         metrics: Metrics,
         downstream_pressure: Callable[[], float],
         version: Callable[[], int],
+        log: CallLog,
     ) -> None:
         self._registration = registration
         self._gate = gate
@@ -57,6 +59,7 @@
         self._metrics = metrics
         self._downstream_pressure = downstream_pressure
         self._version = version
+        self._log = log
         self.stopping = False
 
     def load(self) -> Load:
@@ -73,8 +76,32 @@
 
     def deliver(self, order: Order, watch: Watch) -> Delivery:
         """Serve an order; blocks until its outcome is known."""
-        delivery = self._serve(order, watch)
-        return replace(delivery, load=self.load())
+        began = self._clock.monotonic()
+        delivery = replace(self._serve(order, watch), load=self.load())
+        failed = delivery.verdict is not Verdict.ANSWERED or delivery.status >= 500
+        if self._log.wants(order.attempt, failed):
+            self._log_order(order, delivery, self._clock.monotonic() - began)
+        return delivery
+
+    def _log_order(self, order: Order, delivery: Delivery, took: timedelta) -> None:
+        load = delivery.load
+        self._log.write(
+            "order:done",
+            order.attempt,
+            verdict=delivery.verdict.name.lower(),
+            reason=delivery.reason.name.lower(),
+            detail=delivery.detail,
+            status=delivery.status,
+            took_ms=took / _MILLISECOND,
+            remaining_ms=order.remaining / _MILLISECOND,
+            longest_wait_ms=order.longest_wait / _MILLISECOND,
+            begins_work=order.rank.begins_work,
+            priority=order.rank.priority,
+            in_flight=load.in_flight,
+            limit=load.limit,
+            pressure=load.pressure,
+            version=load.version,
+        )
 
     def _serve(self, order: Order, watch: Watch) -> Delivery:
         deadline = self._clock.monotonic() + order.remaining
--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -175,6 +175,7 @@
             request = self._next_request()
             if request is None:
                 return
+            self._start_ahead()
             reply = self._entrance.handle(request, self._begins_work, self._watch)
             last = not self._write(reply, request.keep_alive)
             if last or not self._finish_pending():
--- a/src/cyclamenvane/mesh/liaison.py
+++ b/src/cyclamenvane/mesh/liaison.py
@@ -85,8 +85,7 @@
         quiet = Signal()
         # Nobody waits for these exchanges, so none of them is cancelled.
         watch = Watch(self._clock, quiet.descriptor, lambda: True)
-        while True:
-            self._pause(_ROUND)
+        while self._pause(_ROUND):
             self._greet(watch)
             self._fetch(watch)
 
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -20,7 +19,7 @@
 
 from ..task import TaskPool
 from .acceptor import Acceptor
-from .admin import AdminApplication, AdminDialect, serve_admin
+from .admin import AdminApplication, AdminDialect, AdminServer
 from .budget import RetryBudget
 from .configuration import CurrentConfiguration
 from .delivery import Courier
@@ -30,11 +29,12 @@
 from .gate import Gate
 from .hosting import Host
 from .liaison import Liaison
+from .log import CallLog
 from .memory import BodyMemory
-from .message import HeaderNames, Request
+from .message import HeaderNames, Request, find_header
 from .metric import Metrics
 from .model import Address, Configuration, MeshSettings, NodeRecord
-from .pause import sleep
+from .pause import Lifetime
 from .peering import PeerPool
 from .pressure import CalledServices, Pressure, PressureTable
 from .publication import NODES_TABLE, Publication, decode_record
@@ -82,6 +82,8 @@
         self._run = int(clock.now().timestamp() * 1000)
         self._stopping = False
         self._contact: dict[str, bool] = {}
+        self._lifetime = Lifetime()
+        self._call_log = CallLog(clock)
         self.metrics = Metrics()
         self.executor: ThreadPoolExecutor = TaskPool(_THREADS)
         self.configuration = CurrentConfiguration(self._note_configuration)
@@ -105,6 +107,7 @@
             self.metrics,
             self._called.pressure,
             self.configuration.version,
+            self._call_log,
         )
         self.liaison = Liaison(
             self.record,
@@ -113,14 +116,15 @@
             self.configuration,
             adapter.decode_configuration,
             clock,
-            sleep,
+            self._lifetime,
         )
         self.dispatcher = self._make_dispatcher()
         self.entrance = self._make_entrance()
         self._publication = Publication(
-            adapter.open_store(settings.store), self.record, sleep
+            adapter.open_store(settings.store), self.record, self._lifetime
         )
         self._acceptors = self._make_acceptors()
+        self._admin: AdminServer | None = None
 
     def record(self) -> NodeRecord:
         """Return what this node publishes of itself."""
@@ -154,7 +158,8 @@
             self.settings.admin_listener,
             (self.settings.peer_listener[0], self._adapter.admin.metrics_port),
         )
-        self.executor.submit(serve_admin, application, listeners)
+        self._admin = AdminServer(application, listeners)
+        self.executor.submit(self._admin.run)
         for acceptor in self._acceptors:
             self.executor.submit(acceptor.run)
         self.executor.submit(self._watch_configuration().run)
@@ -173,9 +178,20 @@
             idle = not self.entrance.in_flight() and not self.gate.load().in_flight
             if idle and self._clock.monotonic() >= notice:
                 return True
-            time.sleep(_POLL.total_seconds())
+            self._lifetime(_POLL)
         return False
 
+    def kill(self) -> None:
+        """End all tasks at once, for a program that goes on without the node."""
+        self._stopping = True
+        self._lifetime.end()
+        self._publication.note_change()
+        if self._admin is not None:
+            self._admin.close()
+        for acceptor in self._acceptors:
+            acceptor.close()
+        self.executor.shutdown(wait=False)
+
     def _make_dispatcher(self) -> Dispatcher:
         settings = self.settings
         budget = RetryBudget(
@@ -235,10 +251,10 @@
             adapter.open_store(self.settings.store),
             adapter.configuration_table,
             lambda: [""],
-            self._take_configurations,
-            lambda change: self._take_configurations([change]),
+            lambda changes: self.take_configurations(changes),
+            lambda change: self.take_configurations([change]),
             self._note_contact,
-            sleep,
+            self._lifetime,
         )
 
     def _watch_nodes(self) -> Subscription:
@@ -249,10 +265,11 @@
             self._take_all_nodes,
             self._take_node,
             self._note_contact,
-            sleep,
+            self._lifetime,
         )
 
-    def _take_configurations(self, changes: list[RowChange]) -> None:
+    def take_configurations(self, changes: list[RowChange]) -> None:
+        """Take the configuration among some rows of its table, if it is there."""
         for change in changes:
             if change.key != self._adapter.configuration_key or change.row is None:
                 continue
@@ -324,6 +341,32 @@
         self.metrics.note_reply(reply, took)
         if call is not None and not call.begins_work:
             self._called.note(reply.service)
+        attempt = find_header(request.headers, self._adapter.names.attempt)
+        if self._call_log.wants(attempt, failed=reply.status >= 400):
+            self._log_call(attempt, call, reply, took)
+
+    def _log_call(
+        self, attempt: bytes | None, call: Call | None, reply: Reply, took: timedelta
+    ) -> None:
+        left = call.deadline - self._clock.monotonic() if call else timedelta()
+        self._call_log.write(
+            "call:done",
+            attempt,
+            route=call.route.name if call else "",
+            priority=call.route.priority if call else -1,
+            begins_work=call.begins_work if call else True,
+            status=int(reply.status),
+            from_target=reply.from_target,
+            reason=reply.reason.name.lower(),
+            detail=reply.detail,
+            service=reply.service,
+            node=reply.node,
+            sends=reply.sends,
+            took_ms=_milliseconds(took),
+            left_ms=_milliseconds(left),
+            retry_after_ms=_milliseconds(reply.retry_after or timedelta()),
+            version=self.configuration.version(),
+        )
 
     def _is_own_target(self, sock: socket.socket) -> bool:
         return sock.getpeername()[0] in (self.settings.target[0], "127.0.0.1")
@@ -344,3 +387,7 @@
         for name, acceptor in zip(("caller", "peer"), self._acceptors):
             set_state(f"{name}_connections", acceptor.count())
             set_state(f"{name}_connections_turned_away", acceptor.turned_away)
+
+
+def _milliseconds(duration: timedelta) -> float:
+    return round(duration.total_seconds() * 1000, 1)
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -44,12 +44,13 @@
 
     def run(self) -> None:
         """Write the record whenever it has changed, until the process ends."""
-        while True:
+        while not self._pause.has_ended():
             self._changed.wait()
             self._changed.clear()
             backoff = Backoff()
-            while not self._write():
+            while not self._pause.has_ended() and not self._write():
                 self._pause(backoff.next_pause())
+        self._store.close()
 
     def _write(self) -> bool:
         record = self._make_record()
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -75,10 +75,11 @@
 
     def run(self) -> None:
         """Follow the table until the process ends."""
-        while True:
+        while not self._pause.has_ended():
             version = self._read_all()
-            while version is not None:
+            while version is not None and not self._pause.has_ended():
                 version = self._follow(version)
+        self._store.close()
 
     def _read_all(self) -> int | None:
         rows: list[RowChange] = []
--- a/src/cyclamenvane/platform/adapter.py
+++ b/src/cyclamenvane/platform/adapter.py
@@ -10,14 +10,14 @@
 from .headers import HEADERS
 from .store import RowsClient
 
-__all__ = ["make_adapter"]
+__all__ = ["METRICS_PORT", "make_adapter"]
 
 # Much longer than a transaction, shorter than the time a caller waits.
 _STORE_TIMEOUT = timedelta(seconds=1)
-_METRICS_PORT = 9464  # also named in deploy/system.toml
+METRICS_PORT = 9464  # also named in deploy/system.toml
 
 
-def make_adapter() -> MeshAdapter:
+def make_adapter(metrics_port: int = METRICS_PORT) -> MeshAdapter:
     """Return the adapter of the users' platform."""
     return MeshAdapter(
         names=HEADERS,
@@ -25,7 +25,7 @@
             readiness_path="/api/ready",
             heartbeat_prefix="/api/endpoints/",
             metrics_path="/metrics",
-            metrics_port=_METRICS_PORT,
+            metrics_port=metrics_port,
             decode_heartbeat=decode_heartbeat,
         ),
         configuration_table="op",
--- a/src/cyclamenvane/platform/daemon.py
+++ b/src/cyclamenvane/platform/daemon.py
@@ -9,13 +9,17 @@
 import signal
 import sys
 import threading
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
 from pathlib import Path
 from types import FrameType
+from typing import NoReturn
 
 import eliot
 
 from ..clock import SystemClock
 from ..mesh import MeshNode
+from ..mesh.log import LogWriter
 from .adapter import make_adapter
 from .settings import SETTINGS_VARIABLE, read_mesh_settings
 
@@ -24,17 +28,20 @@
 _EXIT_SETTINGS = 78  # EX_CONFIG of sysexits.h
 # Tasks are woken for each hop of a call; a long turn would delay the others.
 _SWITCH_S = 0.002
+_FLUSH = timedelta(milliseconds=200)  # a reader that has stalled is left alone
 
 
-def main() -> int:
-    """Run a node until SIGTERM; return the exit status."""
-    eliot.to_file(sys.stdout)
+def main() -> None:
+    """Run a node until SIGTERM, then end the process."""
+    log = LogWriter(sys.stdout.buffer)
+    writers = ThreadPoolExecutor(1, thread_name_prefix="log")
+    log.start(writers)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     found = read_mesh_settings(Path(path))
     if found.is_error():
         for problem in found.error:
             eliot.log_message("settings:invalid", problem=problem)
-        return _EXIT_SETTINGS
+        _exit(log, _EXIT_SETTINGS)
     ended = threading.Event()
 
     def end(number: int, frame: FrameType | None) -> None:
@@ -49,10 +56,14 @@
     ended.wait()
     clean = node.stop()
     eliot.log_message("node:stop", clean=clean)
-    sys.stdout.flush()
+    _exit(log, 0)
+
+
+def _exit(log: LogWriter, status: int) -> NoReturn:
+    log.flush(_FLUSH)
     # Tasks that wait for the next request or answer would hold the process.
-    os._exit(0)
+    os._exit(status)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/cyclamenvane/platform/documents.py
+++ b/src/cyclamenvane/platform/documents.py
@@ -34,11 +34,12 @@
     """Return the configuration in the bytes of its row, or what is wrong."""
     try:
         document = orjson.loads(data)
-        services = [_decode_service(each) for each in document["services"]]
+        services = [_decode_service(each) for each in _take(document, "services", list)]
+        routes = [_decode_route(each) for each in _take(document, "routes", list)]
         return Ok(
             Configuration(
                 version=_decode_version(document["version"]),
-                routes=tuple(_decode_route(each) for each in document["routes"]),
+                routes=tuple(routes),
                 services={service.name: service for service in services},
                 limits=_decode_limits(document["limits"]),
                 source=data,
--- /dev/null
+++ b/tests/mesh/builders.py
@@ -0,0 +1,84 @@
+"""Values that the tests of the mesh are made from."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from cyclamenvane.mesh.gate import Rank
+from cyclamenvane.mesh.model import (
+    CallerLimits,
+    Configuration,
+    Heartbeat,
+    Incarnation,
+    NodeRecord,
+    Route,
+    RouteShare,
+    ServicePolicy,
+)
+from cyclamenvane.mesh.order import Order
+
+TARGET = ("127.0.0.1", 8301)
+
+
+def make_route(**changes) -> Route:
+    fields = {
+        "name": "r",
+        "host": "shop.example",
+        "prefix": "/items/",
+        "repeatable": True,
+        "timeout": timedelta(seconds=5),
+        "objective": timedelta(seconds=1),
+        "priority": 0,
+        "shares": (RouteShare("stock", 1.0),),
+        "max_targets": 2,
+    }
+    return Route(**(fields | changes))
+
+
+def make_configuration(version: int = 1, routes=None) -> Configuration:
+    routes = (make_route(),) if routes is None else tuple(routes)
+    names = {share.service for route in routes for share in route.shares}
+    services = {name: ServicePolicy(name, 100, "/health") for name in names}
+    return Configuration(version, routes, services, CallerLimits())
+
+
+def make_heartbeat(**changes) -> Heartbeat:
+    fields = {
+        "incarnation": Incarnation(1000, "i-1"),
+        "service": "stock",
+        "address": TARGET,
+        "zone": "a",
+        "slots": 16,
+        "draining": False,
+        "sequence": 1,
+        "warmup": timedelta(),
+    }
+    return Heartbeat(**(fields | changes))
+
+
+def make_record(node: str = "n-1", **changes) -> NodeRecord:
+    fields = {
+        "node": node,
+        "run": 1,
+        "zone": "a",
+        "address": ("127.0.0.1", 7620),
+        "service": "stock",
+        "slots": 16,
+        "leaving": False,
+        "incarnation": Incarnation(1000, "i-" + node),
+    }
+    return NodeRecord(**(fields | changes))
+
+
+def make_order(**changes) -> Order:
+    fields = {
+        "service": "stock",
+        "head": b"GET /items/1 HTTP/1.1\r\nhost: shop.example\r\n",
+        "body": b"",
+        "attempt": b"a1",
+        "remaining": timedelta(seconds=2),
+        "longest_wait": timedelta(seconds=1),
+        "rank": Rank(True, 0),
+        "version": 1,
+    }
+    return Order(**(fields | changes))
--- /dev/null
+++ b/tests/mesh/mesh_harness.py
@@ -0,0 +1,276 @@
+"""Mesh nodes in one process, joined over loopback, with stand-ins around them."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import socket
+import time
+from dataclasses import dataclass
+from datetime import timedelta
+
+from store_standin import StoreStandIn
+from target_standin import TargetStandIn
+
+from cyclamenvane.clock import SystemClock
+from cyclamenvane.mesh import MeshNode, MeshSettings
+from cyclamenvane.platform import make_adapter
+
+CALLER = ("127.0.0.200", 0)  # not the address of any target
+_PORTS = itertools.count(21000)
+
+
+def free_port(host: str) -> int:
+    """Return a port that is free on a loopback address."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+            return port
+
+
+def route(name: str = "r", prefix: str = "/items/", **changes) -> dict:
+    """Return a route as the operator writes it."""
+    fields = {
+        "name": name,
+        "host": "shop.example",
+        "prefix": prefix,
+        "routeType": "idempotent",
+        "timeoutS": 5,
+        "targetLatencyS": 1.0,
+        "priority": 0,
+        "maxAttempts": 2,
+        "service": "stock",
+    }
+    return fields | changes
+
+
+@dataclass
+class Answered:
+    """What a caller saw; header names are in lower case."""
+
+    status: int
+    body: bytes
+    headers: dict
+    took: float
+
+
+class Member:
+    """A node and the target beside it."""
+
+    def __init__(self, mesh: Mesh, number: int, service: str, zone: str) -> None:
+        self.host = f"127.0.0.{10 + number}"
+        self.service, self.zone = service, zone
+        self.target = TargetStandIn(instance=f"i-{number}", host=self.host)
+        self._mesh = mesh
+        self._sequence = itertools.count(1)
+        self._born = 1_700_000_000_000 + number
+        self.settings = self._make_settings(f"n-{number}")
+        self.node = MeshNode(
+            self.settings, make_adapter(mesh.metrics_port), SystemClock()
+        )
+
+    def _make_settings(self, name: str) -> MeshSettings:
+        host, mesh = self.host, self._mesh
+        return MeshSettings(
+            node=name,
+            zone=self.zone,
+            zones=mesh.zones,
+            service=self.service,
+            caller_listener=(host, mesh.caller_port),
+            readiness_listener=(host, mesh.ready_port),
+            admin_listener=(host, mesh.admin_port),
+            peer_listener=(host, mesh.peer_port),
+            target=self.target.address,
+            store=mesh.store.address,
+            heartbeat_interval=timedelta(seconds=0.5),
+            memory_bytes=300 * 1024 * 1024,
+            descriptors=1000,
+            grace=timedelta(seconds=4),
+            drain=timedelta(seconds=1),
+            budget_ratio=0.2,
+            budget_slack=49,
+            budget_window=timedelta(seconds=10),
+        )
+
+    def beat(self, state: str = "healthy", slots: int = 16, **changes) -> int:
+        """Send a heartbeat of the target; return the status."""
+        host, port = self.target.address
+        document = {
+            "address": f"{host}:{port}",
+            "born": self._born,
+            "info": {
+                "service": self.service,
+                "zone": self.zone,
+                "version": "v1",
+                "capacity": slots,
+            },
+            "status": {
+                "state": state,
+                "sequence": next(self._sequence),
+                "warmupLeftS": 0,
+            },
+        }
+        return self.admin("PUT", json.dumps(document | changes))
+
+    def end(self) -> int:
+        """Tell the node that the target ends."""
+        return self.admin("DELETE")
+
+    def admin(self, method: str, body: str = "") -> int:
+        """Call the node's admin listener for its target."""
+        connection = http.client.HTTPConnection(*self.settings.admin_listener)
+        connection.request(method, f"/api/endpoints/{self.target.instance}", body)
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+    def is_ready(self) -> bool:
+        """Ask the node for its readiness."""
+        connection = http.client.HTTPConnection(*self.settings.readiness_listener)
+        connection.request("GET", "/api/ready")
+        status = connection.getresponse().status
+        connection.close()
+        return status == 200
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection to the node."""
+        sock = socket.create_connection(
+            self.settings.caller_listener, timeout=10, source_address=CALLER
+        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    def call(
+        self,
+        path: str = "/items/1",
+        method: str = "GET",
+        body: bytes = b"",
+        attempt: str = "a1",
+        deadline_ms: int = 5000,
+        **headers: str,
+    ) -> Answered:
+        """Send one request as a caller and return the answer."""
+        began = time.monotonic()
+        with self.connect() as sock:
+            sock.sendall(
+                make_request(path, method, body, attempt, deadline_ms, **headers)
+            )
+            response = http.client.HTTPResponse(sock, method=method)
+            response.begin()
+            data = response.read()
+            took = time.monotonic() - began
+            headers = {name.lower(): text for name, text in response.getheaders()}
+            return Answered(response.status, data, headers, took)
+
+
+def make_request(
+    path: str = "/items/1",
+    method: str = "GET",
+    body: bytes = b"",
+    attempt: str = "a1",
+    deadline_ms: int = 5000,
+    **headers: str,
+) -> bytes:
+    """Return the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: shop.example",
+        f"X-Attempt-Id: {attempt}",
+        f"X-Deadline-Ms: {deadline_ms}",
+    ]
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Mesh:
+    """Some members, the store, and the operator."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.zones = ("a", "b")
+        host = "127.0.0.10"
+        self.caller_port, self.ready_port = free_port(host), free_port(host)
+        self.admin_port, self.peer_port = free_port(host), free_port(host)
+        self.metrics_port = free_port(host)
+        self.members: list[Member] = []
+        self._version = 0
+
+    def add(self, service: str = "stock", zone: str = "a") -> Member:
+        """Start a node, and a target that sends its first heartbeat."""
+        member = Member(self, len(self.members), service, zone)
+        self.members.append(member)
+        member.node.start()
+        await_true(lambda: listens(member.settings.admin_listener))
+        member.beat()
+        return member
+
+    def configure(self, *routes: dict, **limits) -> int:
+        """Write a configuration as the operator does; return its version."""
+        self._version += 5
+        names = {name for each in routes for name in _services(each)}
+        document = {
+            "version": f"r{self._version}",
+            "routes": list(routes),
+            "services": [
+                {"name": name, "healthPath": "/healthz", "maxConnections": 100}
+                for name in sorted(names)
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1_000_000,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
+            }
+            | limits,
+        }
+        self.store.put("op", "", "config", json.dumps(document).encode())
+        return self._version
+
+    def settle(self) -> None:
+        """Wait until every node knows the configuration and every other node."""
+        for member in self.members:
+            node = member.node
+            await_true(lambda: node.configuration.version() == self._version)
+            await_true(lambda: len(node.directory.peers()) == len(self.members) - 1)
+            await_true(
+                lambda: all(
+                    peer.record.incarnation is not None
+                    for peer in node.directory.peers()
+                )
+            )
+
+    def close(self) -> None:
+        self.store.silent = False
+        for member in self.members:
+            member.node.kill()
+            member.target.close()
+        self.store.close()
+
+
+def _services(each: dict) -> list[str]:
+    shares = each.get("weightedServices", [each])
+    return [share["service"] for share in shares]
+
+
+def listens(address) -> bool:
+    """Return whether a connection can be opened."""
+    try:
+        socket.create_connection(address, timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+def await_true(condition, seconds: float = 5.0) -> None:
+    """Wait until a condition holds; fail after some seconds."""
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, "condition not met in time"
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/mesh/target_standin.py
@@ -0,0 +1,114 @@
+"""A stand-in for a target: a small threaded server with scripted faults."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cyclamenvane.mesh.message import RequestReader, find_header
+from cyclamenvane.mesh.model import CallerLimits
+
+
+@dataclass
+class TargetStandIn:
+    """A target on a loopback address.
+
+    `script` may take over a request: it is given the connection and the request
+    and returns the bytes to send, or None to close the connection.
+    """
+
+    instance: str = "i-1"
+    host: str = "127.0.0.1"
+    script: Callable | None = None
+    delay: float = 0.0
+    ran: list = field(default_factory=list)
+    aborted: list = field(default_factory=list)
+    open: int = 0
+    peak: int = 0
+
+    def __post_init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind((self.host, 0))
+        self._listener.listen(256)
+        self._lock = threading.Lock()
+        self.address = self._listener.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        reader = RequestReader(CallerLimits())
+        with sock:
+            while True:
+                try:
+                    data = sock.recv(65536)
+                except OSError:
+                    return
+                if not data:
+                    return
+                reader.feed(data)
+                while reader.ready:
+                    if not self._answer(sock, reader.ready.popleft()):
+                        return
+
+    def _answer(self, sock: socket.socket, request) -> bool:
+        if self.script is not None:
+            answer = self.script(sock, request)
+        else:
+            answer = self.run(sock, request)
+        try:
+            if answer:
+                sock.sendall(answer)
+        except OSError:
+            return False
+        return answer is not None
+
+    def run(self, sock: socket.socket, request, body: bytes = b"whole") -> bytes | None:
+        """Run a request as a sound target does; return its answer."""
+        needed = find_header(request.headers, b"x-expected-instance")
+        if needed != self.instance.encode():
+            return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+        with self._lock:
+            self.ran.append(request)
+            self.open += 1
+            self.peak = max(self.peak, self.open)
+        ended = time.monotonic() + self.delay
+        try:
+            while time.monotonic() < ended:
+                if self._is_gone(sock):
+                    self.aborted.append(request)
+                    return None
+                time.sleep(0.005)
+        finally:
+            with self._lock:
+                self.open -= 1
+        return make_answer(request, body)
+
+    def _is_gone(self, sock: socket.socket) -> bool:
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
+def make_answer(request, body: bytes, status: bytes = b"200 OK") -> bytes:
+    """Return a signed answer that names the request's attempt."""
+    attempt = find_header(request.headers, b"x-attempt-id") or b""
+    return (
+        b"HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Upstream-Signature: s-%s\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (status, attempt, attempt, len(body), body)
+    )
--- /dev/null
+++ b/tests/mesh/test_configuration.py
@@ -0,0 +1,42 @@
+"""Routes are found by host and longest prefix; versions only move forward."""
+
+from __future__ import annotations
+
+import pytest
+from builders import make_configuration, make_route
+
+from cyclamenvane.mesh.configuration import CurrentConfiguration
+
+
+@pytest.fixture
+def current():
+    return CurrentConfiguration(lambda configuration: None)
+
+
+def test_the_longest_prefix_wins(current):
+    routes = [
+        make_route(name="short", prefix="/items/"),
+        make_route(name="long", prefix="/items/new/"),
+        make_route(name="root", host="other.example", prefix="/"),
+    ]
+    current.take(make_configuration(1, routes))
+    table = current.current()
+
+    def find(host, path):
+        route = table.find_route(host, path)
+        return route and route.name
+
+    assert find(b"shop.example", b"/items/new/1") == "long"
+    assert find(b"Shop.Example:8080", b"/items/newer") == "short"
+    assert find(b"shop.example", b"/items") is None
+    assert find(b"shop.example", b"/itemsx/") is None
+    assert find(b"other.example", b"/anything") == "root"
+    assert find(b"unknown.example", b"/items/1") is None
+
+
+def test_versions_never_go_back(current):
+    assert current.take(make_configuration(7))
+    assert not current.take(make_configuration(7))
+    assert not current.take(make_configuration(6))
+    assert current.version() == 7
+    assert current.take(make_configuration(12))
--- /dev/null
+++ b/tests/mesh/test_message.py
@@ -0,0 +1,131 @@
+"""Requests and answers, whole, cut short, late and surplus."""
+
+from __future__ import annotations
+
+import pytest
+
+from cyclamenvane.mesh.message import (
+    AnswerReader,
+    HeaderNames,
+    Problem,
+    RequestReader,
+    find_header,
+    render_answer_head,
+    render_request_head,
+)
+from cyclamenvane.mesh.model import CallerLimits
+
+NAMES = HeaderNames(
+    b"x-id", b"x-left", b"x-need", b"x-origin", b"x-sig", b"x-not-run", b"x-inst"
+)
+GET = b"GET /items/1?q=2 HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\n\r\n"
+
+
+def read_requests(*pieces: bytes, limits: CallerLimits = CallerLimits()):
+    reader = RequestReader(limits)
+    for piece in pieces:
+        reader.feed(piece)
+    return reader
+
+
+def make_answer_reader(attempt: bytes = b"7") -> AnswerReader:
+    return AnswerReader(b"GET", lambda status, h: find_header(h, b"x-id") == attempt)
+
+
+def answer(attempt: bytes, body: bytes) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n"
+    return head % (attempt, len(body)) + body
+
+
+def test_requests_that_arrive_together_are_read_in_order():
+    reader = read_requests(GET + GET.replace(b"s/1", b"s/2"))
+    assert [each.target for each in reader.ready] == [b"/items/1?q=2", b"/items/2?q=2"]
+    assert reader.ready[0].path == b"/items/1"
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_a_request_may_come_in_pieces(size):
+    data = b"POST /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"3\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n"
+    pieces = [data[i : i + size] for i in range(0, len(data), size)]
+    (request,) = read_requests(*pieces).ready
+    assert request.body == b"abcde"
+    assert find_header(request.headers, b"x-trailer") is None
+
+
+def test_a_request_with_two_lengths_is_refused():
+    data = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+    reader = read_requests(data + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+    assert reader.problem is Problem.MALFORMED
+    assert not reader.ready
+
+
+def test_limits_of_head_and_body():
+    limits = CallerLimits(header_bytes=200, body_bytes=10)
+    large = b"GET / HTTP/1.1\r\nX-Large: " + b"x" * 300 + b"\r\n\r\n"
+    assert read_requests(large, limits=limits).problem is Problem.HEAD_TOO_LARGE
+    endless = b"GET /" + b"x" * 1000
+    assert read_requests(endless, limits=limits).problem is Problem.HEAD_TOO_LARGE
+    body = b"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"
+    assert read_requests(body, limits=limits).problem is Problem.BODY_TOO_LARGE
+    chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n" + b"x" * 11
+    assert read_requests(chunked, limits=limits).problem is Problem.BODY_TOO_LARGE
+
+
+def test_a_head_for_the_target_drops_what_the_caller_may_not_set():
+    data = b"GET /items/1 HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nX-Origin: forged\r\n"
+    data += b"X-Need: forged\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\r\n"
+    (request,) = read_requests(data).ready
+    head = render_request_head(request, NAMES, b"desk")
+    assert head == (
+        b"GET /items/1 HTTP/1.1\r\nhost: a\r\nx-id: 7\r\nx-origin: desk\r\n"
+    )
+
+
+def test_an_answer_to_another_request_is_skipped():
+    reader = make_answer_reader()
+    reader.feed(answer(b"6", b"late") + answer(b"7", b"mine"))
+    assert reader.complete and reader.body == b"mine"
+    assert not reader.keep_alive, "a connection with stray answers is not kept"
+
+
+def test_bytes_after_the_answer_end_the_connection():
+    reader = make_answer_reader()
+    reader.feed(answer(b"7", b"mine") + answer(b"7", b"extra"))
+    assert reader.body == b"mine" and not reader.keep_alive
+    reader = make_answer_reader()
+    reader.feed(answer(b"7", b"mine") + b"garbage")
+    assert reader.complete and reader.body == b"mine" and not reader.keep_alive
+
+
+def test_an_answer_that_ends_early_is_not_complete():
+    reader = make_answer_reader()
+    reader.feed(answer(b"7", b"whole")[:-1])
+    reader.end()
+    assert not reader.complete
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    reader = make_answer_reader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nall of it")
+    assert not reader.complete
+    reader.end()
+    assert reader.complete and reader.body == b"all of it" and not reader.keep_alive
+
+
+def test_bytes_that_are_no_answer():
+    reader = make_answer_reader()
+    reader.feed(b"\x00\x01 garbage\r\n\r\n")
+    assert reader.malformed and not reader.complete
+
+
+def test_an_interim_answer_is_followed_by_the_final_one():
+    reader = make_answer_reader()
+    reader.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + answer(b"7", b"x"))
+    assert reader.complete and reader.status == 200 and reader.keep_alive
+
+
+def test_a_head_for_the_caller_frames_the_body_anew():
+    headers = [(b"x-id", b"7"), (b"transfer-encoding", b"chunked")]
+    head = render_answer_head(200, headers, 5)
+    assert head == b"HTTP/1.1 200 OK\r\nx-id: 7\r\nContent-Length: 5\r\n"
--- /dev/null
+++ b/tests/mesh/test_placement.py
@@ -0,0 +1,118 @@
+"""The own zone goes first; calls leave it only for clearly more room."""
+
+from __future__ import annotations
+
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+from builders import make_record, make_route
+
+from cyclamenvane.mesh.directory import Directory, Peer
+from cyclamenvane.mesh.model import Incarnation, RouteShare
+from cyclamenvane.mesh.order import Load
+from cyclamenvane.mesh.placement import choose_peer, choose_service
+
+
+def make_peer(clock, node, zone="a", in_flight=0, **changes) -> Peer:
+    peer = Peer(make_record(node, zone=zone, **changes), clock)
+    peer.note_load(Load(in_flight, 16, 0.0, 1, False))
+    return peer
+
+
+def choose(peers, clock, tried=()):
+    chosen = choose_peer(peers, "a", tried, clock.monotonic())
+    return chosen and chosen.record.node
+
+
+def test_the_least_used_target_of_the_own_zone(clock):
+    peers = [
+        make_peer(clock, "busy", in_flight=8),
+        make_peer(clock, "free", in_flight=2),
+        make_peer(clock, "far", zone="b"),
+    ]
+    assert choose(peers, clock) == "free"
+
+
+def test_a_full_zone_spills_to_one_with_clearly_more_room(clock):
+    own = make_peer(clock, "own", in_flight=16)
+    assert choose([own, make_peer(clock, "far", "b", 4)], clock) == "far"
+    assert choose([own, make_peer(clock, "far", "b", 15)], clock) == "own"
+
+
+def test_what_was_tried_leaves_or_cannot_be_reached_is_not_chosen(clock):
+    leaving = make_peer(clock, "leaving", leaving=True)
+    empty = make_peer(clock, "empty", incarnation=None)
+    cut = make_peer(clock, "cut")
+    cut.note_unreachable()
+    tried = make_peer(clock, "tried")
+    assert choose([leaving, empty, cut, tried], clock, {"tried"}) is None
+    clock.advance(1)
+    assert choose([leaving, empty, cut, tried], clock, {"tried"}) == "cut"
+
+
+def test_a_node_that_told_it_leaves_is_not_chosen_until_its_next_run(clock):
+    peer = make_peer(clock, "n")
+    peer.note_load(Load(0, 16, 0.0, 1, leaving=True))
+    assert choose([peer], clock) is None
+    peer.record = make_record("n", run=2)
+    assert choose([peer], clock) == "n"
+
+
+def test_a_target_that_breaks_calls_gets_fewer(clock):
+    sound, broken = make_peer(clock, "sound", in_flight=4), make_peer(clock, "broken")
+    for _ in range(3):
+        broken.note_fault()
+    assert choose([sound, broken], clock) == "sound"
+    for _ in range(9):
+        broken.note_success()
+    assert choose([sound, broken], clock) == "broken"
+
+
+def test_weights_are_kept():
+    shares = (RouteShare("x", 90), RouteShare("y", 10))
+    route = make_route(shares=shares)
+    counts = Counter(choose_service(route, n / 1000) for n in range(1000))
+    assert counts == {"x": 900, "y": 100}
+
+
+@pytest.mark.parametrize(
+    ("record", "taken"),
+    [
+        (make_record(run=1), False),
+        (make_record(run=2, incarnation=None, leaving=True), True),
+        (make_record(run=1, incarnation=Incarnation(2000, "i-2")), True),
+        (make_record(run=1, incarnation=Incarnation(500, "i-0")), False),
+        (make_record(run=0, slots=99), False),
+    ],
+)
+def test_records_are_ordered_by_run_and_incarnation(clock, record, taken):
+    directory = Directory("own", clock)
+    assert directory.take(make_record(run=1))
+    assert directory.take(record) is taken
+
+
+def test_a_leaving_target_stays_so_within_its_incarnation(clock):
+    directory = Directory("own", clock)
+    directory.take(make_record(leaving=True))
+    assert not directory.take(make_record(leaving=False))
+
+
+def test_the_pause_of_an_unreachable_node_grows_and_ends(clock):
+    peer = make_peer(clock, "n")
+    peer.note_unreachable()
+    assert not peer.is_usable(clock.monotonic())
+    clock.advance(0.6)
+    assert peer.is_due(clock.monotonic())
+    peer.note_unreachable()
+    clock.advance(0.6)
+    assert not peer.is_due(clock.monotonic())
+    peer.note_reachable()
+    assert peer.is_usable(clock.monotonic()) and not peer.is_unreachable()
+
+
+def test_old_news_of_a_load_is_forgotten(clock):
+    peer = make_peer(clock, "n", in_flight=15)
+    assert peer.used_share() == 1.0
+    clock.advance(timedelta(seconds=2).total_seconds())
+    assert peer.used_share() == 1 / 16
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,139 @@
+"""A stand-in for the platform's store of rows, spoken over HTTP.
+
+It keeps rows in memory, with transactions, ranges, a feed and a bounded
+history. Tests make it slow, busy or cut, and have it lose answers.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+class StoreStandIn:
+    """The store; `address` is where it listens."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple, dict] = {}
+        self.history: list[dict] = []
+        self.oldest = 0
+        self.status = 0
+        self.lose_answers = False
+        self.silent = False
+        self.calls: list[str] = []
+        self._changed = threading.Condition()
+        handler = type("Handler", (_Handler,), {"store": self})
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self._server.daemon_threads = True
+        self.address = self._server.server_address[:2]
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        with self._changed:
+            self._changed.notify_all()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, table: str, part: str, key: str, value: bytes) -> None:
+        row = {"table": table, "part": part, "key": key}
+        text = base64.b64encode(value).decode()
+        self.transact({"puts": [row | {"value": text}]})
+
+    def forget_history(self) -> None:
+        with self._changed:
+            self.history.clear()
+            self.oldest = self.version
+            self._changed.notify_all()
+
+    def transact(self, entries: dict) -> tuple[int, dict]:
+        with self._changed:
+            for row in entries.get("precondition", []):
+                known = self.rows.get(_place(row))
+                if row["rowVersion"] != (known["rowVersion"] if known else 0):
+                    rows = [known] if known else []
+                    return 412, {"rows": rows, "rowVersion": self.version}
+            self.version += 1
+            for row in entries.get("puts", []):
+                self._store(row | {"rowVersion": self.version})
+            for row in entries.get("deletes", []):
+                if self.rows.pop(_place(row), None):
+                    gone = {"deleted": True, "rowVersion": self.version}
+                    self.history.append(row | gone)
+            self._changed.notify_all()
+            return 200, {"rowVersion": self.version}
+
+    def read(self, query: dict) -> tuple[int, dict]:
+        with self._changed:
+            part, table = query.get("part", ""), query["table"]
+            start, limit = query.get("rangeStart", ""), int(query.get("limit", 500))
+            rows = [
+                row
+                for (t, p, key), row in sorted(self.rows.items())
+                if (t, p) == (table, part) and key >= start
+            ]
+            more = len(rows) > limit
+            answer = {"rows": rows[:limit], "hasMore": more}
+            return 200, answer | {"rowVersion": self.version}
+
+    def feed(self, query: dict) -> tuple[int, dict]:
+        after, until = int(query["after"]), time.monotonic()
+        until += int(query["waitMs"]) / 1000
+        with self._changed:
+            while True:
+                if after < self.oldest:
+                    return 410, {}
+                rows = [
+                    row
+                    for row in self.history
+                    if row["table"] == query["table"] and row["rowVersion"] > after
+                ]
+                left = until - time.monotonic()
+                if rows or left <= 0:
+                    return 200, {"rows": rows, "rowVersion": self.version}
+                self._changed.wait(left)
+
+    def _store(self, row: dict) -> None:
+        self.rows[_place(row)] = row
+        self.history.append(row)
+
+
+def _place(row: dict) -> tuple[str, str, str]:
+    return row["table"], row.get("part", ""), row["key"]
+
+
+class _Handler(BaseHTTPRequestHandler):
+    store: StoreStandIn
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args) -> None:
+        return
+
+    def do_GET(self) -> None:
+        parts = urlsplit(self.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        calls = {"/api/rows-get": self.store.read, "/api/rows-feed": self.store.feed}
+        self._answer(parts.path, lambda: calls[parts.path](query))
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self._answer(self.path, lambda: self.store.transact(json.loads(body)))
+
+    def _answer(self, path: str, perform) -> None:
+        store = self.store
+        store.calls.append(path)
+        while store.silent:
+            time.sleep(0.02)
+        status, document = (store.status, {}) if store.status else perform()
+        if store.lose_answers:
+            self.close_connection = True
+            return
+        data = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,139 @@
+"""Configurations and heartbeats, whole and spoiled."""
+
+from __future__ import annotations
+
+import copy
+import json
+from datetime import timedelta
+
+import pytest
+
+from cyclamenvane.mesh.model import Incarnation, RouteShare
+from cyclamenvane.platform.documents import decode_configuration, decode_heartbeat
+
+CONFIGURATION = {
+    "version": "r7",
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Shop.example",
+            "prefix": "/items/",
+            "routeType": "idempotent",
+            "timeoutS": 0.8,
+            "targetLatencyS": 0.15,
+            "priority": 2,
+            "maxAttempts": 2,
+            "weightedServices": [
+                {"service": "a", "weight": 90},
+                {"service": "b", "weight": 10},
+            ],
+        },
+        {
+            "name": "r-2",
+            "host": "shop.example",
+            "prefix": "/up/",
+            "routeType": "upload",
+            "timeoutS": 5,
+            "targetLatencyS": 1.2,
+            "priority": 0,
+            "maxAttempts": 1,
+            "service": "a",
+        },
+    ],
+    "services": [
+        {"name": "a", "healthPath": "/healthz", "maxConnections": 892},
+        {"name": "b", "healthPath": "/healthz", "maxConnections": 10},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+    "fieldOfALaterVersion": 1,
+}
+HEARTBEAT = {
+    "address": "10.0.0.9:8080",
+    "info": {"service": "a", "version": "v1", "zone": "z", "capacity": 90},
+    "status": {"state": "healthy", "sequence": 4, "warmupLeftS": 1.5},
+    "born": 1700000000000,
+}
+
+
+def change(document, path, value):
+    changed = copy.deepcopy(document)
+    *way, last = path
+    place = changed
+    for step in way:
+        place = place[step]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return json.dumps(changed).encode()
+
+
+def test_a_configuration():
+    found = decode_configuration(json.dumps(CONFIGURATION).encode()).ok
+    assert found.version == 7
+    first, second = found.routes
+    assert first.shares == (RouteShare("a", 90.0), RouteShare("b", 10.0))
+    assert first.host == "shop.example" and first.repeatable
+    assert first.timeout == timedelta(milliseconds=800)
+    assert first.objective == timedelta(milliseconds=150)
+    assert second.shares == (RouteShare("a", 1.0),) and not second.repeatable
+    assert found.services["a"].max_connections == 892
+    assert found.limits.idle_timeout == timedelta(seconds=15)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["version"], "7"),
+        (["version"], None),
+        (["routes"], {}),
+        (["routes", 0, "routeType"], "maybe"),
+        (["routes", 0, "timeoutS"], "5"),
+        (["routes", 0, "weightedServices"], []),
+        (["routes", 1, "priority"], None),
+        (["services", 0, "name"], 5),
+        (["limits"], None),
+    ],
+)
+def test_a_spoiled_configuration_is_an_error(path, value):
+    assert decode_configuration(change(CONFIGURATION, path, value)).is_error()
+
+
+def test_bytes_that_are_no_document():
+    whole = json.dumps(CONFIGURATION).encode()
+    assert decode_configuration(whole[:-20]).is_error()
+    assert decode_configuration(b"\xff\x00").is_error()
+    assert decode_configuration(b"[]").is_error()
+
+
+def test_a_heartbeat():
+    found = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).ok
+    assert found.incarnation == Incarnation(1700000000000, "i-1")
+    assert found.address == ("10.0.0.9", 8080)
+    assert (found.slots, found.sequence, found.draining) == (90, 4, False)
+    assert found.warmup == timedelta(seconds=1.5)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["address"], "nowhere"),
+        (["address"], 5),
+        (["born"], 1.5),
+        (["born"], None),
+        (["info"], None),
+        (["info", "service"], 7),
+        (["info", "capacity"], "90"),
+        (["info", "capacity"], 0),
+        (["status", "state"], "resting"),
+        (["status", "sequence"], True),
+        (["status", "warmupLeftS"], None),
+    ],
+)
+def test_a_heartbeat_of_another_writer_is_an_error(path, value):
+    assert decode_heartbeat("i-1", change(HEARTBEAT, path, value)).is_error()
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,51 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from cyclamenvane.platform import parse_mesh_settings, read_mesh_settings
+
+TEXT = """
+nodeId=sidecar-a-1
+zone=a
+ip=10.1.0.8
+zones.a=r
+zones.b=r
+service=stock
+listen.outbound=10.1.0.8:8304
+listen.readinessAddress=10.1.0.8:8302
+listen.admin=10.1.0.8:8306
+internalPortRange=7620,7635
+limits.memoryLimitMb=300
+limits.maxOpenFiles=4100
+heartbeatIntervalS=1.5
+bounds=drainTimeoutS=2,gracePeriodS=6,retryBudgetRatio=0.2,retryWindowS=10,budgetSlack=49
+upstreamAddress=10.1.0.8:8301
+platform.address=10.200.1.7:8309
+fieldOfALaterVersion=x
+"""
+
+
+def test_every_field_is_read():
+    found = parse_mesh_settings(TEXT).ok
+    assert found.node == "sidecar-a-1" and found.zones == ("a", "b")
+    assert found.peer_listener == ("10.1.0.8", 7620)
+    assert found.target == ("10.1.0.8", 8301)
+    assert found.store == ("10.200.1.7", 8309)
+    assert found.grace == timedelta(seconds=6)
+    assert found.budget_slack == 49
+    assert found.memory_bytes == 300 * 1024 * 1024
+
+
+def test_each_problem_names_its_field():
+    spoiled = TEXT.replace("zone=a\n", "", 1).replace("10.1.0.8:8306", "nowhere")
+    spoiled = spoiled.replace("gracePeriodS=6", "gracePeriodS=soon")
+    problems = parse_mesh_settings(spoiled + "no equals sign\n").error
+    names = {problem.partition(":")[0] for problem in problems}
+    assert names == {"zone", "listen.admin", "bounds.gracePeriodS", "line 18"}
+
+
+def test_a_file_that_cannot_be_read(tmp_path):
+    (problem,) = read_mesh_settings(tmp_path / "none").error
+    assert "cannot be read" in problem
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,100 @@
+"""The client of the store, against a stand-in that fails in every way."""
+
+from __future__ import annotations
+
+import threading
+from datetime import timedelta
+
+import pytest
+
+from cyclamenvane.mesh.rows import Change, RowsFailure
+from cyclamenvane.platform.store import RowsClient
+
+SHORT = timedelta(milliseconds=300)
+
+
+@pytest.fixture
+def client(store):
+    made = RowsClient(store.address, SHORT)
+    yield made
+    made.close()
+
+
+def keys(page):
+    return [change.key for change in page.ok.changes]
+
+
+def test_rows_are_written_and_read_in_order(client, store):
+    for key in ("b", "a", "c"):
+        assert client.write([Change("t", "p", key, key.encode(), 0)]).is_ok()
+    page = client.read("t", "p")
+    assert keys(page) == ["a", "b", "c"]
+    assert page.ok.changes[0].row.value == b"a"
+    assert page.ok.version == 3
+    assert keys(client.read("t", "other")) == []
+
+
+def test_more_rows_than_one_page(client, store, monkeypatch):
+    monkeypatch.setattr("cyclamenvane.platform.store._PAGE_ROWS", 3)
+    for number in range(10):
+        store.put("t", "", f"k{number}", b"v")
+    assert keys(client.read("t", "")) == [f"k{number}" for number in range(10)]
+
+
+def test_a_write_needs_the_version_it_names(client):
+    version = client.write([Change("t", "", "k", b"1", 0)]).ok
+    conflict = client.write([Change("t", "", "k", b"2", 0)])
+    assert conflict.error.failure is RowsFailure.CONFLICT
+    assert client.write([Change("t", "", "k", b"2", version)]).is_ok()
+
+
+def test_a_watch_returns_as_soon_as_there_is_a_change(client, store):
+    store.put("t", "", "k", b"1")
+    threading.Timer(0.1, store.put, ("t", "", "k", b"2")).start()
+    page = client.watch("t", store.version, timedelta(seconds=5))
+    assert page.ok.changes[0].row.value == b"2"
+    client.write([Change("t", "", "k", None)])
+    gone = client.watch("t", page.ok.version, timedelta(seconds=5))
+    assert gone.ok.changes[0].row is None
+
+
+def test_a_watch_without_changes_ends_by_itself(client, store):
+    store.put("t", "", "k", b"1")
+    page = client.watch("t", store.version, timedelta(milliseconds=50))
+    assert page.ok.changes == () and page.ok.version == store.version
+
+
+def test_history_that_is_gone(client, store):
+    store.put("t", "", "k", b"1")
+    store.forget_history()
+    page = client.watch("t", 0, SHORT)
+    assert page.error.failure is RowsFailure.HISTORY_GONE
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_busy_store_has_done_nothing(client, store, status):
+    store.status = status
+    written = client.write([Change("t", "", "k", b"1")])
+    assert written.error.failure is RowsFailure.UNAVAILABLE
+    assert not store.rows
+
+
+def test_a_lost_answer_leaves_the_outcome_unknown(client, store):
+    store.lose_answers = True
+    written = client.write([Change("t", "", "k", b"1", 0)])
+    assert written.error.failure is RowsFailure.UNKNOWN
+    store.lose_answers = False
+    assert keys(client.read("t", "")) == ["k"]
+
+
+def test_a_silent_store_is_given_up_in_time(client, store):
+    store.silent = True
+    read = client.read("t", "")
+    assert read.error.failure is RowsFailure.UNKNOWN
+    store.silent = False
+    assert client.read("t", "").is_ok()
+
+
+def test_no_store_at_all():
+    client = RowsClient(("127.0.0.1", 9), SHORT)
+    assert client.read("t", "").error.failure is RowsFailure.UNAVAILABLE
