Park idle connections instead of keeping a task for each

Change: a connection on which nothing comes for 20 ms is parked; one task polls all parked ones. Idle streams end after 5 s, 32 a pair at most.

--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -1,4 +1,4 @@
-"""Accepts connections and serves each in a task of its own."""
+"""Accepts connections, and serves each in a task while it is in use."""
 
 from __future__ import annotations
 
@@ -6,32 +6,53 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Executor
+from datetime import timedelta
+from typing import Protocol
 
 import eliot
 
 from .connection import open_listener
 from .model import Address
+from .parking import Parking
 
-__all__ = ["Acceptor"]
+__all__ = ["Acceptor", "Session"]
+
+
+class Session(Protocol):
+    """What is done on one connection.
+
+    `run` serves requests for as long as they come; it returns the time until
+    which the connection may stay idle, or None when it is to be closed.
+    """
+
+    sock: socket.socket
+
+    def run(self) -> timedelta | None:
+        """Serve the requests that come."""
+
+    def close(self) -> None:
+        """Give up what the session holds."""
 
 
 class Acceptor:
     """The listener of one address.
 
-    `most` bounds the connections served at once. Those beyond it are closed
-    unread, so that their callers may send again elsewhere.
+    `most` bounds the open connections. Those beyond it are closed unread, so
+    that their callers may send again elsewhere.
     """
 
     def __init__(
         self,
         address: Address,
-        serve: Callable[[socket.socket], None],
+        open_session: Callable[[socket.socket], Session],
         executor: Executor,
+        parking: Parking,
         most: int,
     ) -> None:
         self._listener = open_listener(address)
-        self._serve = serve
+        self._open_session = open_session
         self._executor = executor
+        self._parking = parking
         self._most = most
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
@@ -40,7 +61,7 @@
         self.turned_away = 0
 
     def run(self) -> None:
-        """Accept until the process ends."""
+        """Accept until `close`."""
         while not self._ended:
             try:
                 sock, _ = self._listener.accept()
@@ -56,7 +77,8 @@
             self.accepted += 1
             with self._lock:
                 self._open.add(sock)
-            self._executor.submit(self._serve_one, sock)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._executor.submit(self._serve, self._open_session(sock))
 
     def close(self) -> None:
         """Stop accepting, and break the open connections."""
@@ -70,13 +92,30 @@
         """Return how many connections are open."""
         return len(self._open)
 
-    def _serve_one(self, sock: socket.socket) -> None:
+    def _serve(self, session: Session) -> None:
+        idle_until = None
         try:
-            self._serve(sock)
+            idle_until = session.run()
         finally:
-            with self._lock:
-                self._open.discard(sock)
-            sock.close()
+            if idle_until is None:
+                self._end(session)
+            else:
+                self._park(session, idle_until)
+
+    def _park(self, session: Session, until: timedelta) -> None:
+        self._parking.park(
+            session.sock,
+            until,
+            lambda: self._executor.submit(self._serve, session),
+            lambda: self._end(session),
+        )
+
+    def _end(self, session: Session) -> None:
+        session.close()
+        with self._lock:
+            self._open.discard(session.sock)
+        self._parking.forget(session.sock)
+        session.sock.close()
 
 
 def _break(sock: socket.socket) -> None:
--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -36,8 +36,11 @@
     from .metric import Metrics
     from .model import Route
 
-__all__ = ["Entrance"]
+__all__ = ["Entrance", "EntranceSession"]
 
+# Callers that send one request after another do so within this; a task is not
+# kept for longer.
+_LINGER = timedelta(milliseconds=20)
 _MOST_AHEAD = 32  # requests of one connection that are served at once
 _WRITE_TIMEOUT = timedelta(seconds=10)  # for a caller that reads slowly
 _NO_CONFIGURATION_RETRY = timedelta(seconds=1)
@@ -84,17 +87,9 @@
         self._in_flight = 0
         self._lock = threading.Lock()
 
-    def serve(self, sock: socket.socket) -> None:
-        """Serve one connection until it ends."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = _Connection(self, sock)
-        try:
-            connection.run()
-        except OSError:
-            # The caller's connection broke; its calls are cancelled by `close`.
-            pass
-        finally:
-            connection.close()
+    def open_session(self, sock: socket.socket) -> EntranceSession:
+        """Return the session of a connection that a caller has opened."""
+        return EntranceSession(self, sock)
 
     def handle(self, request: Request, begins_work: bool, watch: Watch) -> Reply:
         """Return the outcome of one request."""
@@ -152,13 +147,13 @@
         return int(text) * _MILLISECOND
 
 
-class _Connection:
-    """The state of one connection."""
+class EntranceSession:
+    """One connection of a caller."""
 
     def __init__(self, entrance: Entrance, sock: socket.socket) -> None:
         self._entrance = entrance
         self._clock = entrance.clock
-        self._sock = sock
+        self.sock = sock
         current = entrance.configuration.current()
         limits = current.limits if current else CallerLimits()
         self._reader = RequestReader(limits)
@@ -169,17 +164,25 @@
         self._begins_work = not entrance.is_own_target(sock)
         self._held = 0
 
-    def run(self) -> None:
-        """Serve requests until the connection ends."""
-        while True:
-            request = self._next_request()
-            if request is None:
-                return
-            self._start_ahead()
-            reply = self._entrance.handle(request, self._begins_work, self._watch)
-            last = not self._write(reply, request.keep_alive)
-            if last or not self._finish_pending():
-                return
+    def run(self) -> timedelta | None:
+        """Serve requests while they come."""
+        try:
+            while True:
+                if not self._reader.is_busy() and not self._watch.wait_caller(_LINGER):
+                    return self._clock.monotonic() + self._reader.limits.idle_timeout
+                if not self._serve_next():
+                    return None
+        except OSError:
+            # The caller's connection broke; `close` cancels its calls.
+            return None
+
+    def _serve_next(self) -> bool:
+        request = self._next_request()
+        if request is None:
+            return False
+        self._start_ahead()
+        reply = self._entrance.handle(request, self._begins_work, self._watch)
+        return self._write(reply, request.keep_alive) and self._finish_pending()
 
     def close(self) -> None:
         """Cancel the calls that other tasks still serve."""
@@ -203,7 +206,7 @@
                     self._refuse(late)
                 return None
             idle = not (reader.in_head or reader.in_body)
-            data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            data = self.sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
             if not data:
                 return None
             if idle:
@@ -246,7 +249,7 @@
     def _read_ahead(self) -> bool:
         """Read what the caller sends while one of its requests is served."""
         try:
-            data = self._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            data = self.sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
@@ -313,7 +316,7 @@
 
     def _send(self, data: bytes) -> None:
         until = self._clock.monotonic() + _WRITE_TIMEOUT
-        send_all(self._sock, data, self._watch, until)
+        send_all(self.sock, data, self._watch, until)
 
 
 def _render_own_head(reply: Reply) -> bytes:
--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -51,26 +51,29 @@
                 return waited, []
             self._fill()
 
-    def receive_next(self) -> list[Any] | None:
-        """Block for a frame; None when the other side has closed in order."""
+    def receive_soon(self, watch: Watch, linger: timedelta) -> list[Any] | None:
+        """Return the next frame of the caller that `watch` observes.
+
+        None when nothing has begun to arrive within `linger`; raises OSError
+        when the connection has ended.
+        """
         while True:
             frame = self._next()
             if frame is not None:
                 return frame
-            if not self._fill(blocking=True):
+            if not watch.wait_caller(linger):
                 return None
+            self._fill()
 
     def close(self) -> None:
         """Close the connection."""
         self.sock.close()
 
-    def _fill(self, blocking: bool = False) -> bool:
-        flags = 0 if blocking else socket.MSG_DONTWAIT
-        data = self.sock.recv(RECEIVE_BYTES, flags)
-        if not data and not blocking:
+    def _fill(self) -> None:
+        data = self.sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
+        if not data:
             raise FrameError("the other side closed the connection")
         self._unpacker.feed(data)
-        return bool(data)
 
     def _next(self) -> list[Any] | None:
         try:
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -138,7 +138,6 @@
                 self._waiting -= 1
                 self._pressure.note_refusal()
                 entry = Entry(False, took, waited is Waited.CALLER_GONE)
-        waiter.signal.close()
         return entry
 
     def _wait_for(self, rank: Rank) -> timedelta:
--- a/src/cyclamenvane/mesh/hosting.py
+++ b/src/cyclamenvane/mesh/hosting.py
@@ -9,7 +9,7 @@
 
 from .frames import FrameError, FrameStream
 from .order import FrameKind, Order
-from .watch import Waited, watch_socket
+from .watch import Waited, Watch, watch_socket
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -17,9 +17,12 @@
     from .liaison import Liaison
     from .model import Address
 
-__all__ = ["Host"]
+__all__ = ["Host", "HostSession"]
 
 _SEND_TIMEOUT = timedelta(seconds=5)  # a node that reads no delivery has gone
+# Under load the next order comes within this; a task is not kept for longer.
+_LINGER = timedelta(milliseconds=20)
+_LONGEST_IDLE = timedelta(seconds=60)  # the other node closes much sooner
 
 
 class Host:
@@ -39,26 +42,12 @@
         self._find_address = find_address
         self._version = version
 
-    def serve(self, sock: socket.socket) -> None:
-        """Serve one connection until the other node closes it."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = FrameStream(sock)
-        watch = watch_socket(self._clock, sock)
-        try:
-            while (frame := stream.receive_next()) is not None:
-                answer = self._answer(frame, watch, sock)
-                until = self._clock.monotonic() + _SEND_TIMEOUT
-                if answer is None or watch.gone:
-                    return
-                if stream.send(answer, watch, until) is not Waited.READY:
-                    return
-        except OSError:
-            # The other node closed its stream, which cancels its order.
-            return
+    def open_session(self, sock: socket.socket) -> HostSession:
+        """Return the session of a connection that another node has opened."""
+        return HostSession(self, sock, self._clock)
 
-    def _answer(
-        self, frame: list[Any], watch: Any, sock: socket.socket
-    ) -> list[Any] | None:
+    def answer(self, frame: list[Any], watch: Watch, sock: socket.socket) -> list[Any]:
+        """Return the answer to a frame; raises FrameError for a strange one."""
         kind = frame[0]
         if kind == FrameKind.ORDER:
             try:
@@ -75,3 +64,35 @@
             self._liaison.note_greeting(frame, self._find_address(sock))
             return self._liaison.make_greeting()
         raise FrameError(f"unknown kind of frame: {kind!r}")
+
+
+class HostSession:
+    """One connection of another node."""
+
+    def __init__(self, host: Host, sock: socket.socket, clock: Clock) -> None:
+        self.sock = sock
+        self._host = host
+        self._clock = clock
+        self._stream = FrameStream(sock)
+        self._watch = watch_socket(clock, sock)
+
+    def run(self) -> timedelta | None:
+        """Serve frames while they come."""
+        try:
+            while True:
+                frame = self._stream.receive_soon(self._watch, _LINGER)
+                if frame is None:
+                    return self._clock.monotonic() + _LONGEST_IDLE
+                answer = self._host.answer(frame, self._watch, self.sock)
+                until = self._clock.monotonic() + _SEND_TIMEOUT
+                if self._watch.gone:
+                    return None
+                sent = self._stream.send(answer, self._watch, until)
+                if sent is not Waited.READY:
+                    return None
+        except OSError:
+            # The other node closed its stream, which cancels its order.
+            return None
+
+    def close(self) -> None:
+        """Nothing is held beside the connection."""
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -173,6 +173,10 @@
         self._body = []
         self.ready.append(request)
 
+    def is_busy(self) -> bool:
+        """Return whether a request is being read, or waits to be served."""
+        return bool(self.ready) or self.in_head or self.in_body
+
     def headers_so_far(self) -> list[tuple[bytes, bytes]]:
         """Return the headers of the request that is being read."""
         return self._headers
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -34,6 +34,7 @@
 from .message import HeaderNames, Request, find_header
 from .metric import Metrics
 from .model import Address, Configuration, MeshSettings, NodeRecord
+from .parking import Parking
 from .pause import Lifetime
 from .peering import PeerPool
 from .pressure import CalledServices, Pressure, PressureTable
@@ -49,7 +50,7 @@
 __all__ = ["MeshAdapter", "MeshNode"]
 
 _BODY_SHARE = 0.25  # of the process's memory, for bodies that are being read
-_THREADS = 1024  # about 40 KB each; calls beyond wait for a free one
+_THREADS = 512  # about 100 KB each; calls beyond wait for a free one
 _LISTENER_SHARE = 0.35  # of the descriptors, for each listener's connections
 # Callers are sent elsewhere after two unanswered questions for readiness, which
 # come once a second.
@@ -123,6 +124,7 @@
         self._publication = Publication(
             adapter.open_store(settings.store), self.record, self._lifetime
         )
+        self._parking = Parking(clock, self._lifetime)
         self._acceptors = self._make_acceptors()
         self._admin: AdminServer | None = None
 
@@ -162,6 +164,7 @@
         self.executor.submit(self._admin.run)
         for acceptor in self._acceptors:
             self.executor.submit(acceptor.run)
+        self.executor.submit(self._parking.run)
         self.executor.submit(self._watch_configuration().run)
         self.executor.submit(self._watch_nodes().run)
         self.executor.submit(self._publication.run)
@@ -240,9 +243,19 @@
         )
         return (
             Acceptor(
-                settings.caller_listener, self.entrance.serve, self.executor, most
+                settings.caller_listener,
+                self.entrance.open_session,
+                self.executor,
+                self._parking,
+                most,
+            ),
+            Acceptor(
+                settings.peer_listener,
+                host.open_session,
+                self.executor,
+                self._parking,
+                most,
             ),
-            Acceptor(settings.peer_listener, host.serve, self.executor, most),
         )
 
     def _watch_configuration(self) -> Subscription:
--- a/src/cyclamenvane/mesh/peering.py
+++ b/src/cyclamenvane/mesh/peering.py
@@ -23,8 +23,8 @@
 _CONNECT_TIMEOUT = timedelta(milliseconds=300)
 # The other node judges at the deadline; its word is awaited a little longer.
 _VERDICT_MARGIN = timedelta(milliseconds=60)
-_LONGEST_IDLE = timedelta(seconds=20)
-_MOST_IDLE = 64  # connections to one node that wait for an order
+_LONGEST_IDLE = timedelta(seconds=5)  # opening one anew costs a round trip
+_MOST_IDLE = 32  # connections to one node that wait for an order
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,11 +105,12 @@
 
     def _keep(self, address: Address, stream: FrameStream) -> None:
         until = self._clock.monotonic() + _LONGEST_IDLE
-        surplus = None
+        surplus = []
         with self._lock:
             idle = self._idle.setdefault(address, deque())
             idle.append(_Idle(stream, until))
-            if len(idle) > _MOST_IDLE:
-                surplus = idle.popleft()
-        if surplus is not None:
-            surplus.stream.close()
+            now = self._clock.monotonic()
+            while len(idle) > _MOST_IDLE or idle[0].until < now:
+                surplus.append(idle.popleft())
+        for each in surplus:
+            each.stream.close()
--- a/src/cyclamenvane/mesh/watch.py
+++ b/src/cyclamenvane/mesh/watch.py
@@ -48,8 +48,8 @@
         except BlockingIOError:
             return
 
-    def close(self) -> None:
-        """Give the descriptor back."""
+    def __del__(self) -> None:
+        # Tasks share a signal; the last one that holds it gives it back.
         os.close(self.descriptor)
 
 
