Rank calls with their roots, and refuse roots by the level their tree met

Cause: callers and targets reach a node from the same address, so every call was taken for one that a target makes, and none was refused before its work began.

Change: the adapter reads a call's ancestors from its attempt. A call ranks with its root at every node. The product's own AdmissionLevel replaces the pressure of the thin path; a delivery tells the lowest level that the call's tree met, so the level is learned for each route and not for each service.

Figures: tests/mesh/test_node.py plays a chain whose lower service is short by half: the urgent roots are served in nine of ten cases or more, and the others are refused early more often than they fail.

--- a/src/cyclamenvane/admission/__init__.py
+++ b/src/cyclamenvane/admission/__init__.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from .gate import ADMITTED, QUEUED, Gate, GateState
-from .level import AdmissionLevel, LevelTuning
+from .level import LEVEL_HOLDS, LEVEL_REGAIN, AdmissionLevel, LevelTuning, regain_level
 from .limit import ConcurrencyLimit, ServiceTime
 from .order import Waiting, WaitingList
 from .resend import RESEND_WINDOW, ResendGuard
 
 __all__ = [
     "ADMITTED",
+    "LEVEL_HOLDS",
+    "LEVEL_REGAIN",
     "QUEUED",
     "RESEND_WINDOW",
     "AdmissionLevel",
@@ -21,4 +23,5 @@
     "ServiceTime",
     "Waiting",
     "WaitingList",
+    "regain_level",
 ]
--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -14,7 +14,18 @@
 
 from ..calls import RANKS
 
-__all__ = ["GOODPUT", "RECOVERY", "AdmissionLevel", "LevelTuning"]
+__all__ = [
+    "GOODPUT",
+    "LEVEL_HOLDS",
+    "LEVEL_REGAIN",
+    "RECOVERY",
+    "AdmissionLevel",
+    "LevelTuning",
+    "regain_level",
+]
+
+LEVEL_HOLDS = timedelta(milliseconds=300)
+LEVEL_REGAIN = timedelta(milliseconds=500)
 
 
 _MOST_STEPS = 16
@@ -136,3 +147,14 @@
         self._started = 0
         self._waited = timedelta()
         self._overflowed = False
+
+
+def regain_level(level: int, since: timedelta) -> int:
+    """Return what an admission level told some time ago still stands for.
+
+    It holds for `LEVEL_HOLDS` and then rises back to full within
+    `LEVEL_REGAIN`, so calls find out by themselves that a target has recovered.
+    """
+    if since <= LEVEL_HOLDS:
+        return level
+    return min(RANKS, level + int(RANKS * ((since - LEVEL_HOLDS) / LEVEL_REGAIN)))
--- a/src/cyclamenvane/mesh/delivery.py
+++ b/src/cyclamenvane/mesh/delivery.py
@@ -15,7 +15,7 @@
 from .gate import Gate
 from .message import HeaderNames, find_header, render_answer_head
 from .order import Delivery, Load, Order, Reason, Verdict
-from .pressure import Pressure
+from .rank import Run, Runs
 from .upstream import Exchange, ExchangeEnd, Upstream
 from .watch import Watch
 
@@ -41,35 +41,36 @@
         self,
         registration: Registration,
         gate: Gate,
-        pressure: Pressure,
+        runs: Runs,
         upstream: Upstream,
         names: HeaderNames,
         clock: Clock,
         metrics: Metrics,
-        downstream_pressure: Callable[[], float],
         version: Callable[[], int],
         log: CallLog,
     ) -> None:
         self._registration = registration
         self._gate = gate
-        self._pressure = pressure
+        self._runs = runs
         self._upstream = upstream
         self._names = names
         self._clock = clock
         self._metrics = metrics
-        self._downstream_pressure = downstream_pressure
         self._version = version
         self._log = log
         self.stopping = False
 
-    def load(self) -> Load:
-        """Return what other nodes are told of the target now."""
+    def load(self, run: Run | None = None) -> Load:
+        """Return what other nodes are told of the target now.
+
+        With a run, its level counts what the run's own calls have met.
+        """
         gate = self._gate.load()
-        pressure = max(self._pressure.value(), self._downstream_pressure())
+        level = self._gate.level()
         return Load(
             gate.in_flight + gate.waiting,
             gate.limit,
-            round(pressure, 3),
+            min(level, run.level()) if run else level,
             self._version(),
             self.stopping or not self._registration.is_serving(),
         )
@@ -77,7 +78,12 @@
     def deliver(self, order: Order, watch: Watch) -> Delivery:
         """Serve an order; blocks until its outcome is known."""
         began = self._clock.monotonic()
-        delivery = replace(self._serve(order, watch), load=self.load())
+        run = self._runs.begin(order.attempt, order.rank)
+        try:
+            delivery = self._serve(order, watch)
+        finally:
+            self._runs.end(order.attempt)
+        delivery = replace(delivery, load=self.load(run))
         failed = delivery.verdict is not Verdict.ANSWERED or delivery.status >= 500
         if self._log.wants(order.attempt, failed):
             self._log_order(order, delivery, self._clock.monotonic() - began)
@@ -95,11 +101,11 @@
             took_ms=took / _MILLISECOND,
             remaining_ms=order.remaining / _MILLISECOND,
             longest_wait_ms=order.longest_wait / _MILLISECOND,
-            begins_work=order.rank.begins_work,
-            priority=order.rank.priority,
+            rank=order.rank.root,
+            depth=order.rank.depth,
             in_flight=load.in_flight,
             limit=load.limit,
-            pressure=load.pressure,
+            level=load.level,
             version=load.version,
         )
 
--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -79,7 +79,7 @@
         load = self._load
         # Until the next news, the calls sent since are part of the load.
         self._load = Load(
-            load.in_flight + 1, load.limit, load.pressure, load.version, load.leaving
+            load.in_flight + 1, load.limit, load.level, load.version, load.leaving
         )
 
     def note_done(self) -> None:
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -16,15 +16,15 @@
 from typing import TYPE_CHECKING
 
 from .directory import Directory, Peer
-from .gate import Rank
 from .order import Delivery, Load, Order, Reason, Verdict
 from .placement import choose_peer, choose_service
-from .pressure import PressureTable, is_refused
+from .rank import Rank, Run
 
 if TYPE_CHECKING:
     from ..clock import Clock
     from .budget import RetryBudget
     from .delivery import Courier
+    from .levels import RouteLevels
     from .metric import Metrics
     from .model import Address, NodeRecord, Route
     from .watch import Watch
@@ -47,13 +47,15 @@
     """A call of a caller or of the target beside the node.
 
     `deadline` is the earlier of the caller's deadline and the route's timeout.
+    `parent` is the run of the target beside the node that the call is made for.
     """
 
     attempt: bytes | None
     route: Route
     head: bytes
     body: bytes
-    begins_work: bool
+    rank: Rank
+    parent: Run | None
     arrived: timedelta
     deadline: timedelta
 
@@ -88,42 +90,39 @@
         deliver_locally: Courier,
         deliver_remotely: Callable[[Address, Order, Watch], Delivery],
         budget: RetryBudget,
-        pressure: PressureTable,
+        levels: RouteLevels,
         clock: Clock,
         metrics: Metrics,
         version: Callable[[], int],
         on_newer_version: Callable[[int, Address], None],
-        lowest_priority: Callable[[], int],
     ) -> None:
         self._own = own
         self._directory = directory
         self._courier = deliver_locally
         self._deliver_remotely = deliver_remotely
         self._budget = budget
-        self._pressure = pressure
+        self._levels = levels
         self._clock = clock
         self._metrics = metrics
         self._version = version
         self._on_newer_version = on_newer_version
-        self._lowest_priority = lowest_priority
         self._local = Peer(own(), clock)
 
     def serve(self, call: Call, watch: Watch) -> Reply:
         """Return the outcome of a call; blocks until it is known."""
         service = choose_service(call.route, random.random())
-        if call.begins_work:
+        if not call.rank.depth:
             refused = self._refuse_early(call, service)
             if refused is not None:
                 return refused
         return self._try_targets(call, service, watch)
 
     def _refuse_early(self, call: Call, service: str) -> Reply | None:
-        pressure = self._pressure.value(service)
-        priority, lowest = call.route.priority, self._lowest_priority()
-        if not is_refused(pressure, priority, lowest, random.random()):
+        level = self._levels.level(call.route.name)
+        if call.rank.root < level:
             return None
         after = _OVERLOAD_RETRY * random.uniform(0.5, 1.5)
-        detail = f"pressure {pressure:.2f}, priority {priority}"
+        detail = f"rank {call.rank.root} of a tree, level {level}"
         return _refuse(Reason.NO_ROOM, after, detail, service, 0)
 
     def _try_targets(self, call: Call, service: str, watch: Watch) -> Reply:
@@ -172,8 +171,8 @@
     def _offer(self, call: Call, service: str, peer: Peer, watch: Watch) -> Delivery:
         remaining = call.deadline - self._clock.monotonic()
         route = call.route
-        share = _WAIT_SHARE if call.begins_work else _INNER_WAIT_SHARE
-        bound = route.objective if call.begins_work else remaining
+        share = _INNER_WAIT_SHARE if call.rank.depth else _WAIT_SHARE
+        bound = remaining if call.rank.depth else route.objective
         order = Order(
             service,
             call.head,
@@ -181,9 +180,10 @@
             call.attempt,
             remaining,
             min(remaining, bound * share),
-            Rank(call.begins_work, route.priority),
+            call.rank,
             self._version(),
         )
+        sent = self._clock.monotonic()
         peer.note_sent()
         try:
             if peer is self._local:
@@ -192,17 +192,27 @@
                 delivery = self._deliver_remotely(peer.record.address, order, watch)
         finally:
             peer.note_done()
-        self._learn(peer, service, delivery)
+        self._learn(call, peer, service, delivery, self._clock.monotonic() - sent)
         return delivery
 
-    def _learn(self, peer: Peer, service: str, delivery: Delivery) -> None:
+    def _learn(
+        self,
+        call: Call,
+        peer: Peer,
+        service: str,
+        delivery: Delivery,
+        took: timedelta,
+    ) -> None:
         self._metrics.note_delivery(delivery)
         if delivery.reason is Reason.UNREACHABLE:
             peer.note_unreachable()
         if delivery.load == Load():
             return
         peer.note_load(delivery.load)
-        self._pressure.note(service, peer.record.node, delivery.load.pressure)
+        if call.parent is not None:
+            call.parent.note_call(service, delivery.load.level, took)
+        if not call.rank.depth:
+            self._levels.note(call.route.name, delivery.load.level)
         if delivery.verdict is Verdict.ANSWERED and delivery.status < 500:
             peer.note_success()
         elif delivery.reason in (Reason.BROKEN, Reason.TARGET_REFUSED):
--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -35,6 +35,7 @@
     from .memory import BodyMemory
     from .metric import Metrics
     from .model import Route
+    from .rank import Rank, Run
 
 __all__ = ["Entrance", "EntranceSession"]
 
@@ -66,7 +67,7 @@
         configuration: CurrentConfiguration,
         names: HeaderNames,
         service: Callable[[], str],
-        is_own_target: Callable[[socket.socket], bool],
+        rank: Callable[[bytes | None, Route], tuple[Rank, Run | None]],
         executor: Executor,
         memory: BodyMemory,
         clock: Clock,
@@ -77,7 +78,7 @@
         self.configuration = configuration
         self.names = names
         self.service = service
-        self.is_own_target = is_own_target
+        self.rank = rank
         self.executor = executor
         self.memory = memory
         self.clock = clock
@@ -91,12 +92,12 @@
         """Return the session of a connection that a caller has opened."""
         return EntranceSession(self, sock)
 
-    def handle(self, request: Request, begins_work: bool, watch: Watch) -> Reply:
+    def handle(self, request: Request, watch: Watch) -> Reply:
         """Return the outcome of one request."""
         with self._lock:
             self._in_flight += 1
         try:
-            return self._handle(request, begins_work, watch)
+            return self._handle(request, watch)
         finally:
             with self._lock:
                 self._in_flight -= 1
@@ -105,9 +106,9 @@
         """Return how many requests are being served."""
         return self._in_flight
 
-    def _handle(self, request: Request, begins_work: bool, watch: Watch) -> Reply:
+    def _handle(self, request: Request, watch: Watch) -> Reply:
         arrived = self.clock.monotonic()
-        call = self._make_call(request, begins_work, arrived)
+        call = self._make_call(request, arrived)
         if isinstance(call, Call):
             reply = self.dispatch(call, watch)
             self.on_done(call, request, reply, arrived)
@@ -116,9 +117,7 @@
             self.on_done(None, request, reply, arrived)
         return reply
 
-    def _make_call(
-        self, request: Request, begins_work: bool, arrived: timedelta
-    ) -> Call | Reply:
+    def _make_call(self, request: Request, arrived: timedelta) -> Call | Reply:
         current = self.configuration.current()
         if current is None:
             return Reply(
@@ -130,12 +129,15 @@
         route = current.find_route(host, request.path)
         if route is None:
             return Reply(HTTPStatus.NOT_FOUND, detail="no route matches")
+        attempt = find_header(request.headers, self.names.attempt)
+        rank, parent = self.rank(attempt, route)
         return Call(
-            find_header(request.headers, self.names.attempt),
+            attempt,
             route,
             render_request_head(request, self.names, self.service().encode()),
             request.body,
-            begins_work,
+            rank,
+            parent,
             arrived,
             arrived + min(route.timeout, self._read_remaining(request, route)),
         )
@@ -161,7 +163,6 @@
         self._pending: deque[_Pending] = deque()
         self._cancelled: Signal | None = None
         self._done: Signal | None = None
-        self._begins_work = not entrance.is_own_target(sock)
         self._held = 0
 
     def run(self) -> timedelta | None:
@@ -181,7 +182,7 @@
         if request is None:
             return False
         self._start_ahead()
-        reply = self._entrance.handle(request, self._begins_work, self._watch)
+        reply = self._entrance.handle(request, self._watch)
         return self._write(reply, request.keep_alive) and self._finish_pending()
 
     def close(self) -> None:
@@ -277,7 +278,7 @@
         cancelled, done = self._cancelled, self._done
         watch = Watch(self._clock, cancelled.descriptor, lambda: False)
         try:
-            return self._entrance.handle(request, self._begins_work, watch)
+            return self._entrance.handle(request, watch)
         finally:
             done.raise_()
 
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -3,8 +3,9 @@
 The target is never given more calls at once than it works on: one that cannot
 queue a call may never answer it. Calls that find no room wait in the order of
 `Rank`, each no longer than its own bound, and are refused at once when the wait
-is expected to be longer. `Pressure` tells the nodes where calls begin how much
-of the less important work to refuse there, before any of it is done.
+is expected to be longer. A call deep in a tree is not refused for its rank, since
+work has been done for it; the level tells the nodes where trees begin which
+roots to refuse there.
 """
 
 from __future__ import annotations
@@ -16,29 +17,27 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
-from .pressure import Pressure
+from ..admission.level import AdmissionLevel, LevelTuning
+from .rank import Rank
 from .watch import Signal, Waited, Watch
 
 if TYPE_CHECKING:
     from ..clock import Clock
 
-__all__ = ["Entry", "Gate", "GateLoad", "Rank"]
+__all__ = ["Entry", "Gate", "GateLoad"]
 
 # Targets slow down when nearly all of their slots are taken.
 _USED_SHARE = 15 / 16
 _SMOOTHING = 0.05  # weight of one call in the mean time of a call
 _FIRST_MEAN = timedelta(milliseconds=20)  # until calls have been seen
-
-
-class Rank(NamedTuple):
-    """The order of admission: the smallest first.
-
-    A call that a target makes for a call it serves goes before one that begins
-    the work, since refusing it would throw away what has been done.
-    """
-
-    begins_work: bool
-    priority: int
+# A deep tree waits at many targets, so each has to answer soon.
+_TUNING = LevelTuning(
+    window=timedelta(milliseconds=200),
+    wait=timedelta(milliseconds=10),
+    wait_share=0.5,
+    cut=0.05,
+    rise=4,
+)
 
 
 class Entry(NamedTuple):
@@ -72,14 +71,14 @@
 class Gate:
     """The calls at one target and those that wait for it."""
 
-    def __init__(self, clock: Clock, pressure: Pressure) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._pressure = pressure
+        self._level = AdmissionLevel(_TUNING, clock.monotonic())
         self._limit = 0
         self._in_flight = 0
         self._waiting = 0
         self._mean = _FIRST_MEAN
-        self._queue: list[tuple[Rank, int, _Waiter]] = []
+        self._queue: list[tuple[int, int, int, _Waiter]] = []
         self._numbers = itertools.count()
         self._lock = threading.Lock()
 
@@ -93,6 +92,12 @@
             self._limit = max(1, int(slots * _USED_SHARE)) if slots else 0
             self._grant()
 
+    def level(self) -> int:
+        """Return the admission level: roots of smaller ranks are admitted."""
+        with self._lock:
+            self._advance(self._clock.monotonic())
+            return self._level.level
+
     def expected_wait(self) -> timedelta:
         """Return how long a call that arrives now would wait."""
         if self._in_flight < self._limit:
@@ -103,16 +108,18 @@
         """Admit a call, at the latest at `until`, or refuse it."""
         arrived = self._clock.monotonic()
         with self._lock:
-            self._pressure.note_arrival()
+            self._advance(arrived)
+            self._level.note_arrival(rank.root)
             if self._in_flight < self._limit and not self._waiting:
                 self._in_flight += 1
-                self._pressure.note_start(timedelta())
+                self._level.note_start(timedelta())
                 return Entry(True, timedelta())
             if arrived + self._wait_for(rank) > until:
-                self._pressure.note_refusal()
+                self._level.note_overflow()
                 return Entry(False, timedelta())
             waiter = _Waiter()
-            heapq.heappush(self._queue, (rank, next(self._numbers), waiter))
+            place = (rank.root, -rank.depth, next(self._numbers), waiter)
+            heapq.heappush(self._queue, place)
             self._waiting += 1
         return self._await(waiter, arrived, until, watch)
 
@@ -132,24 +139,28 @@
         with self._lock:
             if waiter.granted:
                 entry = Entry(True, took, watch.gone)
-                self._pressure.note_start(took)
+                self._level.note_start(took)
             else:
                 waiter.withdrawn = True
                 self._waiting -= 1
-                self._pressure.note_refusal()
+                self._level.note_overflow()
                 entry = Entry(False, took, waited is Waited.CALLER_GONE)
         return entry
 
     def _wait_for(self, rank: Rank) -> timedelta:
-        ahead = sum(1 for each in self._queue if each[0] <= rank)
+        ahead = sum(1 for each in self._queue if each[0] <= rank.root)
         return self._mean * ((ahead + 1) / max(1, self._limit))
 
     def _grant(self) -> None:
         while self._queue and self._in_flight < self._limit:
-            _, _, waiter = heapq.heappop(self._queue)
+            *_, waiter = heapq.heappop(self._queue)
             if waiter.withdrawn:
                 continue
             waiter.granted = True
             self._waiting -= 1
             self._in_flight += 1
             waiter.signal.raise_()
+
+    def _advance(self, now: timedelta) -> None:
+        has_room = not self._waiting and self._in_flight < self._limit
+        self._level.advance(now, self._mean, has_room)
--- /dev/null
+++ b/src/cyclamenvane/mesh/levels.py
@@ -0,0 +1,42 @@
+"""What this node has heard of how much work of each route is admitted.
+
+Each delivery of a root tells the lowest admission level that its tree met. A
+root whose rank is not admitted is refused where it begins, before any work.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ..admission.level import regain_level
+from ..calls import RANKS
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+
+__all__ = ["RouteLevels"]
+
+_SMOOTHING = 0.25  # a level heard counts so much against those before it
+
+
+class RouteLevels:
+    """The admission level of each route."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._levels: dict[str, tuple[float, timedelta]] = {}
+
+    def note(self, route: str, level: int) -> None:
+        """Take in the level that a tree of the route met."""
+        known = float(self.level(route))
+        smoothed = known + (level - known) * _SMOOTHING
+        self._levels[route] = (smoothed, self._clock.monotonic())
+
+    def level(self, route: str) -> int:
+        """Return the level of a route: ranks below it are admitted."""
+        found = self._levels.get(route)
+        if found is None:
+            return RANKS
+        level, heard = found
+        return regain_level(int(level), self._clock.monotonic() - heard)
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -28,17 +28,18 @@
 from .entrance import Entrance
 from .gate import Gate
 from .hosting import Host
+from .levels import RouteLevels
 from .liaison import Liaison
 from .log import CallLog
 from .memory import BodyMemory
 from .message import HeaderNames, Request, find_header
 from .metric import Metrics
-from .model import Address, Configuration, MeshSettings, NodeRecord
+from .model import Address, Configuration, MeshSettings, NodeRecord, Route
 from .parking import Parking
 from .pause import Lifetime
 from .peering import PeerPool
-from .pressure import CalledServices, Pressure, PressureTable
 from .publication import NODES_TABLE, Publication, decode_record
+from .rank import Rank, Run, Runs, rank_root
 from .registration import Registration, TargetState
 from .rows import RowChange, RowStore
 from .subscription import Subscription
@@ -61,7 +62,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MeshAdapter:
-    """What a mesh node needs of a platform."""
+    """What a mesh node needs of a platform.
+
+    `read_lineage` returns the names of a call's ancestors and its own, the root
+    first. The root of a call without ancestors is the call itself.
+    """
 
     names: HeaderNames
     admin: AdminDialect
@@ -69,6 +74,7 @@
     configuration_key: str
     open_store: Callable[[Address], RowStore]
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
+    read_lineage: Callable[[bytes], tuple[bytes, ...]]
 
 
 class MeshNode:
@@ -92,21 +98,19 @@
             settings.service, settings.target, self._note_target
         )
         self.directory = Directory(settings.node, clock)
-        self.pressure = PressureTable(clock)
-        self._called = CalledServices(self.pressure, clock)
+        self._levels = RouteLevels(clock)
+        self._runs = Runs()
         self._peers = PeerPool(clock)
-        own_pressure = Pressure(clock)
-        self.gate = Gate(clock, own_pressure)
+        self.gate = Gate(clock)
         self._upstream = Upstream(settings.target, adapter.names, clock)
         self.courier = Courier(
             self.registration,
             self.gate,
-            own_pressure,
+            self._runs,
             self._upstream,
             adapter.names,
             clock,
             self.metrics,
-            self._called.pressure,
             self.configuration.version,
             self._call_log,
         )
@@ -209,12 +213,11 @@
             self.courier,
             self._peers.deliver,
             budget,
-            self.pressure,
+            self._levels,
             self._clock,
             self.metrics,
             self.configuration.version,
             self.liaison.note_newer_version,
-            self._lowest_priority,
         )
 
     def _make_entrance(self) -> Entrance:
@@ -223,7 +226,7 @@
             self.configuration,
             self._adapter.names,
             lambda: self.settings.service,
-            self._is_own_target,
+            self._rank,
             self.executor,
             BodyMemory(int(self.settings.memory_bytes * _BODY_SHARE)),
             self._clock,
@@ -352,8 +355,6 @@
     ) -> None:
         took = self._clock.monotonic() - arrived
         self.metrics.note_reply(reply, took)
-        if call is not None and not call.begins_work:
-            self._called.note(reply.service)
         attempt = find_header(request.headers, self._adapter.names.attempt)
         if self._call_log.wants(attempt, failed=reply.status >= 400):
             self._log_call(attempt, call, reply, took)
@@ -367,7 +368,8 @@
             attempt,
             route=call.route.name if call else "",
             priority=call.route.priority if call else -1,
-            begins_work=call.begins_work if call else True,
+            rank=call.rank.root if call else -1,
+            depth=call.rank.depth if call else 0,
             status=int(reply.status),
             from_target=reply.from_target,
             reason=reply.reason.name.lower(),
@@ -381,12 +383,14 @@
             version=self.configuration.version(),
         )
 
-    def _is_own_target(self, sock: socket.socket) -> bool:
-        return sock.getpeername()[0] in (self.settings.target[0], "127.0.0.1")
-
-    def _lowest_priority(self) -> int:
-        table = self.configuration.current()
-        return table.lowest_priority if table else 0
+    def _rank(self, attempt: bytes | None, route: Route) -> tuple[Rank, Run | None]:
+        """Return the rank of a call, and the run of the own target it is for."""
+        lineage = self._adapter.read_lineage(attempt or b"")
+        depth = len(lineage) - 1
+        parent = self._runs.find(lineage[-2]) if depth else None
+        if parent is not None:
+            return Rank(parent.rank.root, depth), parent
+        return Rank(rank_root(route.priority, lineage[0]), depth), None
 
     def _refresh_metrics(self) -> None:
         load = self.gate.load()
@@ -394,7 +398,7 @@
         set_state("in_flight", load.in_flight)
         set_state("waiting", load.waiting)
         set_state("limit", load.limit)
-        set_state("pressure", self.courier.load().pressure)
+        set_state("level", self.gate.level())
         set_state("configuration_version", self.configuration.version())
         set_state("nodes_known", len(self.directory.peers()) + 1)
         for name, acceptor in zip(("caller", "peer"), self._acceptors):
--- a/src/cyclamenvane/mesh/order.py
+++ b/src/cyclamenvane/mesh/order.py
@@ -12,7 +12,8 @@
 from enum import IntEnum
 from typing import Any
 
-from .gate import Rank
+from ..calls import RANKS
+from .rank import Rank
 
 __all__ = ["Delivery", "FrameKind", "Load", "Order", "Reason", "Verdict"]
 
@@ -56,13 +57,13 @@
     """What a node tells of its target with each delivery.
 
     `in_flight` counts the calls at the target and in the queue, `limit` those
-    that it works on at once. `pressure` is that of `Pressure`, or of a service
-    that the target calls. `version` is the configuration in force there.
+    that it works on at once. `level` is the admission level there, or the lowest
+    that the call's own calls met. `version` is the configuration in force there.
     """
 
     in_flight: int = 0
     limit: int = 0
-    pressure: float = 0.0
+    level: int = RANKS
     version: int = 0
     leaving: bool = False
 
@@ -101,7 +102,7 @@
     @classmethod
     def unpack(cls, frame: list[Any]) -> Order:
         """Return the order in a frame."""
-        _, service, head, body, attempt, remaining, wait, begins, priority, v = frame
+        _, service, head, body, attempt, remaining, wait, root, depth, v = frame
         return cls(
             service,
             head,
@@ -109,7 +110,7 @@
             attempt,
             remaining * _MICROSECOND,
             wait * _MICROSECOND,
-            Rank(begins, priority),
+            Rank(root, depth),
             v,
         )
 
@@ -145,7 +146,7 @@
             self.detail,
             load.in_flight,
             load.limit,
-            load.pressure,
+            load.level,
             load.version,
             load.leaving,
         ]
--- a/src/cyclamenvane/platform/headers.py
+++ b/src/cyclamenvane/platform/headers.py
@@ -8,7 +8,7 @@
 
 from ..mesh.message import HeaderNames
 
-__all__ = ["HEADERS"]
+__all__ = ["HEADERS", "read_lineage"]
 
 HEADERS = HeaderNames(
     # Names one attempt of a caller, and is echoed by targets.
@@ -25,3 +25,15 @@
     not_run=b"x-not-executed",
     instance=b"x-instance-id",
 )
+
+
+def read_lineage(attempt: bytes) -> tuple[bytes, ...]:
+    """Return the attempts of a call's ancestors and its own, the root first.
+
+    Targets name their own calls after the call that they make them for:
+
+        >>> read_lineage(b"7f.02")
+        (b'7f', b'7f.02')
+    """
+    parts = attempt.split(b".")
+    return tuple(b".".join(parts[: end + 1]) for end in range(len(parts)))
--- a/src/cyclamenvane/routing/track.py
+++ b/src/cyclamenvane/routing/track.py
@@ -4,12 +4,11 @@
 
 from datetime import timedelta
 
+from ..admission.level import regain_level
 from ..calls import RANKS
 
-__all__ = ["LEVEL_HOLDS", "LEVEL_REGAIN", "TargetTrack", "regain_level"]
+__all__ = ["TargetTrack"]
 
-LEVEL_HOLDS = timedelta(milliseconds=300)
-LEVEL_REGAIN = timedelta(milliseconds=500)
 _FAILURES_TO_EJECT = 5
 _SHORTEST_EJECTION = timedelta(seconds=1)
 _LONGEST_EJECTION = timedelta(seconds=30)
@@ -18,17 +17,6 @@
 _SMOOTHING = 0.2
 
 
-def regain_level(level: int, since: timedelta) -> int:
-    """Return what an admission level told some time ago still stands for.
-
-    It holds for `LEVEL_HOLDS` and then rises back to full within
-    `LEVEL_REGAIN`, so calls find out by themselves that a target has recovered.
-    """
-    if since <= LEVEL_HOLDS:
-        return level
-    return min(RANKS, level + int(RANKS * ((since - LEVEL_HOLDS) / LEVEL_REGAIN)))
-
-
 class TargetTrack:
     """Calls under way, the level last told, failures, warmth and delay."""
 
--- a/tests/mesh/builders.py
+++ b/tests/mesh/builders.py
@@ -4,7 +4,6 @@
 
 from datetime import timedelta
 
-from cyclamenvane.mesh.gate import Rank
 from cyclamenvane.mesh.model import (
     CallerLimits,
     Configuration,
@@ -16,6 +15,7 @@
     ServicePolicy,
 )
 from cyclamenvane.mesh.order import Order
+from cyclamenvane.mesh.rank import Rank
 
 TARGET = ("127.0.0.1", 8301)
 
@@ -78,7 +78,7 @@
         "attempt": b"a1",
         "remaining": timedelta(seconds=2),
         "longest_wait": timedelta(seconds=1),
-        "rank": Rank(True, 0),
+        "rank": Rank(0, 0),
         "version": 1,
     }
     return Order(**(fields | changes))
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from mesh_harness import await_true, make_request, route
@@ -233,3 +234,41 @@
         sock.sendall(b"NOT HTTP\r\n\r\n")
         assert sock.recv(1000).startswith(b"HTTP/1.1 400")
     assert not entry.target.ran
+
+
+def test_an_overloaded_service_below_has_less_important_roots_refused_early(mesh):
+    """Desk calls stock for its work; stock has three slots of 50 ms."""
+    desk, stock = mesh.add("desk", "a"), mesh.add("stock", "a")
+    stock.beat(slots=4)
+    mesh.configure(
+        route("urgent", "/urgent/", service="desk", priority=0),
+        route("plain", "/plain/", service="desk", priority=2),
+        route("inner", "/inner/", service="stock", priority=1),
+    )
+    mesh.settle()
+    stock.target.delay = 0.05
+
+    def script(sock, request):
+        attempt = dict(request.headers)[b"x-attempt-id"].decode()
+        inner = desk.call("/inner/", attempt=f"{attempt}.1")
+        if inner.status == 200:
+            return make_answer(request, b"whole")
+        return make_answer(request, b"failed", b"500 Failed")
+
+    desk.target.script = script
+    statuses = {"urgent": [], "plain": []}
+
+    def offer(kind, number):
+        attempt = f"{kind}{number}"
+        answered = desk.call(f"/{kind}/", attempt=attempt, deadline_ms=1500)
+        statuses[kind].append(answered.status)
+
+    with ThreadPoolExecutor(64) as pool:
+        for number in range(250):
+            pool.submit(offer, "plain", number)
+            if number % 5 == 0:
+                pool.submit(offer, "urgent", number)
+            time.sleep(0.01)
+    served = {kind: each.count(200) / len(each) for kind, each in statuses.items()}
+    assert served["urgent"] >= 0.9
+    assert statuses["plain"].count(503) > statuses["plain"].count(500)
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -8,6 +8,7 @@
 import pytest
 from builders import make_record, make_route
 
+from cyclamenvane.calls import RANKS
 from cyclamenvane.mesh.directory import Directory, Peer
 from cyclamenvane.mesh.model import Incarnation, RouteShare
 from cyclamenvane.mesh.order import Load
@@ -16,7 +17,7 @@
 
 def make_peer(clock, node, zone="a", in_flight=0, **changes) -> Peer:
     peer = Peer(make_record(node, zone=zone, **changes), clock)
-    peer.note_load(Load(in_flight, 16, 0.0, 1, False))
+    peer.note_load(Load(in_flight, 16, RANKS, 1, False))
     return peer
 
 
@@ -53,7 +54,7 @@
 
 def test_a_node_that_told_it_leaves_is_not_chosen_until_its_next_run(clock):
     peer = make_peer(clock, "n")
-    peer.note_load(Load(0, 16, 0.0, 1, leaving=True))
+    peer.note_load(Load(0, 16, RANKS, 1, leaving=True))
     assert choose([peer], clock) is None
     peer.record = make_record("n", run=2)
     assert choose([peer], clock) == "n"
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -28,8 +28,7 @@
         self.calls: list[str] = []
         self._changed = threading.Condition()
         handler = type("Handler", (_Handler,), {"store": self})
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
-        self._server.daemon_threads = True
+        self._server = _Server(("127.0.0.1", 0), handler)
         self.address = self._server.server_address[:2]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
@@ -106,6 +105,13 @@
     return row["table"], row.get("part", ""), row["key"]
 
 
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address) -> None:
+        """Clients of tests often leave in the middle of a call."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     store: StoreStandIn
     protocol_version = "HTTP/1.1"
