Cross zones for clearly more room only, and send callers away for longer

Change: other zones are looked at when the own one is full, not nearly full, and need 0.4 of a target's room more, and 0.5 for each 100 KB of a body. A caller refused by the level is asked to stay away for 0.75 to 2.25 s.

--- a/src/cyclamenvane/cli/application.py
+++ b/src/cyclamenvane/cli/application.py
@@ -10,6 +10,7 @@
 
 from ..kernel import hookimpl, load_plugins
 from .demo import DemoCommand
+from .explain import ExplainCommand
 from .node import CredentialCommand, NodeRunCommand, PlatformCommand
 from .policy import (
     PolicyAcceptCommand,
@@ -54,4 +55,5 @@
         StatusCommand(),
         AuditCommand(),
         DemoCommand(),
+        ExplainCommand(),
     ]
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -38,7 +38,9 @@
 _INNER_WAIT_SHARE = 0.8  # work has been done for a call that a target makes
 _LEAST_RETRY = timedelta(milliseconds=100)
 _MOST_RETRY = timedelta(seconds=2)
-_OVERLOAD_RETRY = timedelta(milliseconds=600)  # some windows of the pressure
+# A level that fell needs a few seconds to return; a caller that comes back sooner
+# meets the same refusal. Callers cut this to a third of the time they have.
+_OVERLOAD_RETRY = timedelta(milliseconds=1500)
 _NO_TARGET_RETRY = timedelta(milliseconds=500)  # a heartbeat or two
 
 
@@ -134,7 +136,7 @@
             now = self._clock.monotonic()
             if now >= call.deadline:
                 break
-            peer = self._choose(service, tried, now)
+            peer = self._choose(call, service, tried, now)
             if peer is None:
                 break
             if sends and not self._budget.spend(service, self._node_count()):
@@ -160,13 +162,15 @@
                 break
         return self._conclude(call, service, unknown or last, sends)
 
-    def _choose(self, service: str, tried: set[str], now: timedelta) -> Peer | None:
+    def _choose(
+        self, call: Call, service: str, tried: set[str], now: timedelta
+    ) -> Peer | None:
         own = self._own()
         peers = self._directory.peers_of(service)
         if own.service == service:
             self._local.record = own
             peers = [self._local, *peers]
-        return choose_peer(peers, own.zone, tried, now)
+        return choose_peer(peers, own.zone, tried, now, len(call.body))
 
     def _offer(self, call: Call, service: str, peer: Peer, watch: Watch) -> Delivery:
         remaining = call.deadline - self._clock.monotonic()
--- a/src/cyclamenvane/mesh/placement.py
+++ b/src/cyclamenvane/mesh/placement.py
@@ -16,8 +16,10 @@
 
 __all__ = ["choose_peer", "choose_service"]
 
-_FULL = 0.9  # share of a target's room beyond which other zones are looked at
-_MARGIN = 0.2  # room that another zone must have more
+_FULL = 1.0  # share of a target's room beyond which other zones are looked at
+_MARGIN = 0.4  # room that another zone must have more
+_BODY_MARGIN = 0.5  # and more for each 100 KB that would be carried over
+_BODY_UNIT = 100_000
 _FAULT_WEIGHT = 0.25  # share of a target's room that one recent fault stands for
 _CHOICES = 3  # targets compared; more would send all nodes to the same one
 
@@ -39,6 +41,7 @@
     own_zone: str,
     tried: Collection[str],
     now: timedelta,
+    body_bytes: int = 0,
     sample: Callable[[Sequence[Peer], int], list[Peer]] = random.sample,
 ) -> Peer | None:
     """Return the target for a call, or None when none can be used."""
@@ -53,7 +56,8 @@
     other = _least_used(far, sample)
     if best is None or other is None:
         return best or other
-    return other if _weigh(other) < _weigh(best) - _MARGIN else best
+    margin = _MARGIN + _BODY_MARGIN * body_bytes / _BODY_UNIT
+    return other if _weigh(other) < _weigh(best) - margin else best
 
 
 def _least_used(
--- /dev/null
+++ b/src/cyclamenvane/platform/command.py
@@ -0,0 +1,41 @@
+"""The command that checks a settings file of the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from ..kernel import hookimpl
+from .settings import read_mesh_settings
+
+__all__ = ["CheckSettingsCommand", "cyclamenvane_commands"]
+
+_INVALID = 1
+
+
+class CheckSettingsCommand(Command):
+    """Checks a settings file and names each problem."""
+
+    name = "check-settings"
+    description = "Check a settings file of the users' platform"
+    arguments = [argument("file", "The settings file")]
+
+    def handle(self) -> int:
+        """Print each problem, or that there is none."""
+        found = read_mesh_settings(Path(self.argument("file")))
+        if found.is_error():
+            for problem in found.error:
+                self.line_error(problem, "error")
+            return _INVALID
+        settings = found.ok
+        self.line(f"{settings.node} beside {settings.service}: no problem found")
+        return 0
+
+
+@hookimpl
+def cyclamenvane_commands() -> Sequence[Command]:
+    """Return the commands of the adapter."""
+    return [CheckSettingsCommand()]
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -41,6 +41,13 @@
     assert choose([own, make_peer(clock, "far", "b", 15)], clock) == "own"
 
 
+def test_a_large_body_crosses_zones_only_for_much_more_room(clock):
+    own, far = make_peer(clock, "own", in_flight=16), make_peer(clock, "far", "b", 4)
+    peers, now = [own, far], clock.monotonic()
+    assert choose_peer(peers, "a", (), now, 10_000) is far
+    assert choose_peer(peers, "a", (), now, 200_000) is own
+
+
 def test_what_was_tried_leaves_or_cannot_be_reached_is_not_chosen(clock):
     leaving = make_peer(clock, "leaving", leaving=True)
     empty = make_peer(clock, "empty", incarnation=None)
--- /dev/null
+++ b/tests/mesh/test_story.py
@@ -0,0 +1,48 @@
+"""One request's story from the logs of several nodes."""
+
+from __future__ import annotations
+
+import json
+
+from cleo.testers.command_tester import CommandTester
+
+from cyclamenvane.cli.explain import ExplainCommand
+from cyclamenvane.mesh.story import collect_story
+
+
+def line(kind, name, origin="1.5 n-1", **fields):
+    return f"{origin} " + json.dumps({"message_type": kind, "id": name, **fields})
+
+
+LINES = [
+    line("order:done", "a.1", "9.0 n-2", reason="no_room"),
+    line("call:done", "a", status=500),
+    "not a log line",
+    line("call:done", "ab", status=200),
+    '1.0 n-1 {"message_type": "call:done", "id": "a"',
+    line("order:done", "a", "0.1 n-3", status=500),
+    line("call:done", "a.1", status=503),
+]
+
+
+def test_the_request_comes_first_then_its_inner_calls():
+    story = collect_story("a", LINES)
+    order = [(each.fields["id"], each.kind) for each in story.lines]
+    assert order == [
+        ("a", "call:done"),
+        ("a", "order:done"),
+        ("a.1", "call:done"),
+        ("a.1", "order:done"),
+    ]
+    assert story.broken == 1
+    assert "reason=no_room" in story.render()
+
+
+def test_the_command(tmp_path):
+    log = tmp_path / "n.log"
+    log.write_text("\n".join(LINES))
+    tester = CommandTester(ExplainCommand())
+    assert tester.execute(f"a {log}") == 0
+    assert "a.1 order:done [9.0 n-2] reason=no_room" in tester.io.fetch_output()
+    assert tester.execute(f"unknown {log}") == 1
+    assert tester.execute(f"a {tmp_path / 'none'}") == 1
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,7 +4,10 @@
 
 from datetime import timedelta
 
+from cleo.testers.command_tester import CommandTester
+
 from cyclamenvane.platform import parse_mesh_settings, read_mesh_settings
+from cyclamenvane.platform.command import CheckSettingsCommand
 
 TEXT = """
 nodeId=sidecar-a-1
@@ -49,3 +52,13 @@
 def test_a_file_that_cannot_be_read(tmp_path):
     (problem,) = read_mesh_settings(tmp_path / "none").error
     assert "cannot be read" in problem
+
+
+def test_the_command_names_each_problem(tmp_path):
+    path = tmp_path / "local.conf"
+    path.write_text(TEXT)
+    tester = CommandTester(CheckSettingsCommand())
+    assert tester.execute(str(path)) == 0
+    path.write_text(TEXT.replace("service=stock\n", ""))
+    assert tester.execute(str(path)) == 1
+    assert "service: missing" in tester.io.fetch_error()
