--- a/src/cyclamenvane/mesh/budget.py
+++ b/src/cyclamenvane/mesh/budget.py
@@ -27,12 +27,16 @@
     def __init__(
         self, ratio: float, slack: float, window: timedelta, clock: Clock
     ) -> None:
-        self._ratio = ratio * _SPENT_SHARE
-        self._slack = slack * _SPENT_SHARE
-        self._window = window
         self._clock = clock
         self._tokens: dict[str, tuple[float, timedelta]] = {}
         self._lock = threading.Lock()
+        self.retune(ratio, slack, window)
+
+    def retune(self, ratio: float, slack: float, window: timedelta) -> None:
+        """Take the bounds for all nodes together."""
+        self._ratio = ratio * _SPENT_SHARE
+        self._slack = slack * _SPENT_SHARE
+        self._window = window
 
     def note_call(self, service: str, nodes: int) -> None:
         """Earn from a call that is sent for the first time."""
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -97,6 +97,7 @@
         metrics: Metrics,
         version: Callable[[], int],
         on_newer_version: Callable[[int, Address], None],
+        on_unreachable: Callable[[NodeRecord], None],
     ) -> None:
         self._own = own
         self._directory = directory
@@ -108,6 +109,7 @@
         self._metrics = metrics
         self._version = version
         self._on_newer_version = on_newer_version
+        self._on_unreachable = on_unreachable
         self._local = Peer(own(), clock)
 
     def serve(self, call: Call, watch: Watch) -> Reply:
@@ -209,9 +211,11 @@
         took: timedelta,
     ) -> None:
         self._metrics.note_delivery(delivery)
-        if delivery.reason is Reason.UNREACHABLE:
-            peer.note_unreachable()
         if delivery.load == Load():
+            # A node that lives judges each order, at its deadline at the latest.
+            if delivery.reason in (Reason.UNREACHABLE, Reason.TIMED_OUT):
+                peer.note_unreachable()
+                self._on_unreachable(peer.record)
             return
         peer.note_load(delivery.load)
         if call.parent is not None:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -101,6 +101,9 @@
         self._levels = RouteLevels(clock)
         self._runs = Runs()
         self._peers = PeerPool(clock)
+        self._budget = RetryBudget(
+            settings.budget_ratio, settings.budget_slack, settings.budget_window, clock
+        )
         self.gate = Gate(clock)
         self._upstream = Upstream(settings.target, adapter.names, clock)
         self.courier = Courier(
@@ -188,6 +191,18 @@
             self._lifetime(_POLL)
         return False
 
+    def reload(self, settings: MeshSettings) -> None:
+        """Take changed settings in; addresses to listen on stay as they are."""
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.registration.move(settings.service, settings.target)
+        self._upstream.move(settings.target)
+        self._budget.retune(
+            settings.budget_ratio, settings.budget_slack, settings.budget_window
+        )
+        eliot.log_message("settings:changed", service=settings.service)
+
     def kill(self) -> None:
         """End all tasks at once, for a program that goes on without the node."""
         self._stopping = True
@@ -200,24 +215,18 @@
         self.executor.shutdown(wait=False)
 
     def _make_dispatcher(self) -> Dispatcher:
-        settings = self.settings
-        budget = RetryBudget(
-            settings.budget_ratio,
-            settings.budget_slack,
-            settings.budget_window,
-            self._clock,
-        )
         return Dispatcher(
             self.record,
             self.directory,
             self.courier,
             self._peers.deliver,
-            budget,
+            self._budget,
             self._levels,
             self._clock,
             self.metrics,
             self.configuration.version,
             self.liaison.note_newer_version,
+            self._note_unreachable,
         )
 
     def _make_entrance(self) -> Entrance:
@@ -350,6 +359,10 @@
         # All nodes listen on the same port for each other.
         return sock.getpeername()[0], self.settings.peer_listener[1]
 
+    def _note_unreachable(self, record: NodeRecord) -> None:
+        self._peers.forget(record.address)
+        eliot.log_message("node:unreachable", node=record.node, zone=record.zone)
+
     def _note_done(
         self, call: Call | None, request: Request, reply: Reply, arrived: timedelta
     ) -> None:
@@ -400,6 +413,7 @@
         set_state("limit", load.limit)
         set_state("level", self.gate.level())
         set_state("configuration_version", self.configuration.version())
+        set_state("parked_connections", self._parking.count())
         set_state("nodes_known", len(self.directory.peers()) + 1)
         for name, acceptor in zip(("caller", "peer"), self._acceptors):
             set_state(f"{name}_connections", acceptor.count())
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -59,6 +59,13 @@
         self._ended: dict[str, int] = {}
         self._lock = threading.Lock()
 
+    def move(self, service: str, address: Address) -> None:
+        """Expect heartbeats of another service or address from now on."""
+        with self._lock:
+            if (service, address) != (self.service, self._address):
+                self.service, self._address = service, address
+                self._state = None
+
     def state(self) -> TargetState | None:
         """Return what is known of the target."""
         return self._state
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -110,6 +110,12 @@
             else:
                 sock.close()
 
+    def move(self, address: Address) -> None:
+        """Reach the target at another address from now on."""
+        if address != self._address:
+            self._address = address
+            self.close_idle()
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         with self._lock:
--- a/src/cyclamenvane/platform/daemon.py
+++ b/src/cyclamenvane/platform/daemon.py
@@ -28,6 +28,7 @@
 _EXIT_SETTINGS = 78  # EX_CONFIG of sysexits.h
 # The interpreter's own value; a shorter one wakes more tasks for nothing.
 _SWITCH_S = 0.005
+_LOOK_S = 1.0  # how late a change of the settings file is noticed
 _FLUSH = timedelta(milliseconds=200)  # a reader that has stalled is left alone
 
 
@@ -48,17 +49,43 @@
         ended.set()
 
     signal.signal(signal.SIGTERM, end)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    hung_up = threading.Event()
+    signal.signal(signal.SIGHUP, lambda number, frame: hung_up.set())
     sys.setswitchinterval(_SWITCH_S)
     node = MeshNode(found.ok, make_adapter(), SystemClock())
     node.start()
     eliot.log_message("node:start", node=found.ok.node, service=found.ok.service)
-    ended.wait()
+    stamp = _read_stamp(path)
+    while not ended.wait(_LOOK_S):
+        changed = _read_stamp(path)
+        # The file may also change without a signal.
+        if hung_up.is_set() or changed != stamp:
+            hung_up.clear()
+            stamp = changed
+            _reload(node, Path(path))
     clean = node.stop()
     eliot.log_message("node:stop", clean=clean)
     _exit(log, 0)
 
 
+def _reload(node: MeshNode, path: Path) -> None:
+    found = read_mesh_settings(path)
+    if found.is_ok():
+        node.reload(found.ok)
+        return
+    for problem in found.error:
+        eliot.log_message("settings:invalid", problem=problem, kept=True)
+
+
+def _read_stamp(path: str) -> tuple[int, int]:
+    try:
+        status = os.stat(path)
+    except OSError:
+        # It is being replaced; the next look finds it.
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
+
+
 def _exit(log: LogWriter, status: int) -> NoReturn:
     log.flush(_FLUSH)
     # Tasks that wait for the next request or answer would hold the process.
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 
 import pytest
 from mesh_harness import await_true, make_request, route
 from target_standin import make_answer
 
+from cyclamenvane.mesh.model import Incarnation, NodeRecord
+
+INCARNATION = Incarnation(1, "i-silent")
 POST = {"routeType": "non_idempotent"}
 
 
@@ -277,3 +282,30 @@
     served = {kind: each.count(200) / len(each) for kind, each in statuses.items()}
     assert served["urgent"] >= 0.9
     assert statuses["plain"].count(503) > statuses["plain"].count(500)
+
+
+def test_a_node_gone_silent_is_left_alone_after_the_first_call(mesh):
+    entry, _ = mesh.add("desk"), mesh.add()
+    mesh.configure(route(timeoutS=0.4))
+    mesh.settle()
+    with socket.create_server(("127.0.0.99", mesh.peer_port)) as silent:
+        record = NodeRecord(
+            "n-silent", 1, "a", silent.getsockname(), "stock", 64, False, INCARNATION
+        )
+        entry.node.directory.take(record)
+        answers = [entry.call(attempt=f"a{number}") for number in range(8)]
+        assert [each.status for each in answers].count(200) >= 7
+        assert sum(each.took > 0.3 for each in answers) <= 1
+
+
+def test_changed_settings_are_taken_in_and_the_same_ones_change_nothing(mesh):
+    member = mesh.add()
+    mesh.configure(route(), route("other", "/other/", service="other"))
+    mesh.settle()
+    member.node.reload(member.settings)
+    assert member.call().status == 200
+    member.service = "other"
+    member.node.reload(replace(member.settings, service="other"))
+    assert member.call("/other/").status == 503, "nothing is known of that target yet"
+    assert member.beat() == 200
+    assert member.call("/other/").status == 200
