--- a/src/cyclamenvane/mesh/model.py
+++ b/src/cyclamenvane/mesh/model.py
@@ -138,6 +138,7 @@
 class MeshSettings:
     """Where a node runs, what it listens on and what bounds it.
 
+    `store_reads_per_s` is what the store grants all nodes together.
     `budget_ratio` and `budget_slack` bound the repeated sends of all nodes to
     one service within `budget_window`: the ratio of its calls, plus the slack.
     """
@@ -152,11 +153,10 @@
     peer_listener: Address
     target: Address
     store: Address
-    heartbeat_interval: timedelta
+    store_reads_per_s: float
     memory_bytes: int
     descriptors: int
     grace: timedelta
-    drain: timedelta
     budget_ratio: float
     budget_slack: float
     budget_window: timedelta
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -57,6 +57,8 @@
 # come once a second.
 _NOTICE = timedelta(seconds=2.5)
 _EXIT_MARGIN = timedelta(milliseconds=700)  # before the platform kills the process
+_GATHER = timedelta(milliseconds=60)  # changes that come together are read together
+_READ_SHARE = 0.33  # of the store's reads, for the records of nodes
 _POLL = timedelta(milliseconds=50)
 
 
@@ -279,6 +281,7 @@
             lambda changes: self.take_configurations(changes),
             lambda change: self.take_configurations([change]),
             self._note_contact,
+            lambda: _GATHER,
             self._lifetime,
         )
 
@@ -290,9 +293,17 @@
             self._take_all_nodes,
             self._take_node,
             self._note_contact,
+            self._gather_nodes,
             self._lifetime,
         )
 
+    def _gather_nodes(self) -> timedelta:
+        # Each change of a node's record wakes all nodes, so the more nodes there
+        # are, the more changes have to be read at once.
+        nodes = len(self.directory.peers()) + 1
+        rate = self.settings.store_reads_per_s * _READ_SHARE
+        return max(_GATHER, timedelta(seconds=nodes / max(rate, 1.0)))
+
     def take_configurations(self, changes: list[RowChange]) -> None:
         """Take the configuration among some rows of its table, if it is there."""
         for change in changes:
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -25,7 +25,6 @@
 # Long enough to cost few calls, short enough to notice a silent connection that
 # keep-alive probes do not reveal.
 _WATCH = timedelta(seconds=8)
-_GATHER = timedelta(milliseconds=60)  # changes that come together are read together
 
 
 @dataclass(slots=True)
@@ -51,7 +50,8 @@
     """One table, and what is done with its changes.
 
     `on_snapshot` takes all rows of all parts, `on_change` each later change.
-    `on_contact` is told whether the store answered.
+    `on_contact` is told whether the store answered. After a change, `gather`
+    tells how long to wait for more before reading again.
     """
 
     def __init__(
@@ -62,6 +62,7 @@
         on_snapshot: Callable[[list[RowChange]], None],
         on_change: Callable[[RowChange], None],
         on_contact: Callable[[bool, str], None],
+        gather: Callable[[], timedelta],
         pause: Pause,
     ) -> None:
         self._store = store
@@ -70,6 +71,7 @@
         self._on_snapshot = on_snapshot
         self._on_change = on_change
         self._on_contact = on_contact
+        self._gather = gather
         self._pause = pause
         self._backoff = Backoff()
 
@@ -108,7 +110,7 @@
         for change in page.ok.changes:
             self._on_change(change)
         if page.ok.changes:
-            self._pause(_GATHER)
+            self._pause(self._gather())
         return max(version, page.ok.version)
 
     def _succeed(self) -> None:
--- a/src/cyclamenvane/platform/settings.py
+++ b/src/cyclamenvane/platform/settings.py
@@ -83,7 +83,7 @@
         peer_listener=(fields.take("ip", str, ""), peer_port),
         target=fields.take("upstreamAddress", _parse_address, none),
         store=fields.take("platform.address", _parse_address, none),
-        heartbeat_interval=fields.take("heartbeatIntervalS", _seconds, timedelta()),
+        store_reads_per_s=fields.take("platform.readsPerS", float, 0.0),
         memory_bytes=fields.take("limits.memoryLimitMb", _megabytes, 0),
         descriptors=fields.take("limits.maxOpenFiles", int, 0),
         **_read_bounds(fields),
@@ -102,7 +102,6 @@
     fields.values.update({f"bounds.{name}": value for name, value in bounds.items()})
     return {
         "grace": fields.take("bounds.gracePeriodS", _seconds, timedelta()),
-        "drain": fields.take("bounds.drainTimeoutS", _seconds, timedelta()),
         "budget_ratio": fields.take("bounds.retryBudgetRatio", float, 0.0),
         "budget_slack": fields.take("bounds.budgetSlack", float, 0.0),
         "budget_window": fields.take("bounds.retryWindowS", _seconds, timedelta()),
--- a/tests/mesh/conftest.py
+++ b/tests/mesh/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 from mesh_harness import Mesh
+from store_standin import StoreStandIn
 
 
 @pytest.fixture
@@ -11,3 +12,10 @@
     made = Mesh()
     yield made
     made.close()
+
+
+@pytest.fixture
+def store():
+    made = StoreStandIn()
+    yield made
+    made.close()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,7 +22,7 @@
 internalPortRange=7620,7635
 limits.memoryLimitMb=300
 limits.maxOpenFiles=4100
-heartbeatIntervalS=1.5
+platform.readsPerS=2000
 bounds=drainTimeoutS=2,gracePeriodS=6,retryBudgetRatio=0.2,retryWindowS=10,budgetSlack=49
 upstreamAddress=10.1.0.8:8301
 platform.address=10.200.1.7:8309
