End in steps, and remember an acknowledged end over a restart

Cause: reading the code for what could cut a request: a node exited between the end of a call and the writing of its answer, orders could arrive as it exited, and a node that had restarted knew nothing of an end that it had acknowledged.

Change: requests count as under way until their answer is written. Other nodes are told to send no more 0.5 s before orders are refused as not run, then the node ends when it is idle. An own record that says a target has ended is taken over by the next run; a record that vanished is written again.

--- a/src/cyclamenvane/mesh/delivery.py
+++ b/src/cyclamenvane/mesh/delivery.py
@@ -58,7 +58,9 @@
         self._metrics = metrics
         self._version = version
         self._log = log
-        self.stopping = False
+        # Other nodes are told to send no more; then orders are refused.
+        self.leaving = False
+        self.closed = False
 
     def load(self, run: Run | None = None) -> Load:
         """Return what other nodes are told of the target now.
@@ -72,7 +74,7 @@
             gate.limit,
             min(level, run.level()) if run else level,
             self._version(),
-            self.stopping or not self._registration.is_serving(),
+            self.leaving or not self._registration.is_serving(),
         )
 
     def deliver(self, order: Order, watch: Watch) -> Delivery:
@@ -113,6 +115,8 @@
         deadline = self._clock.monotonic() + order.remaining
         if order.service != self._registration.service:
             return _not_run(Reason.OTHER_SERVICE)
+        if self.closed:
+            return _not_run(Reason.LEAVING)
         if not self._registration.is_serving():
             return _not_run(self._registration.refusal())
         until = min(
--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import socket
-import threading
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
@@ -17,6 +16,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from .activity import Activity
 from .connection import FIRST_BYTES, RECEIVE_BYTES, limit_receive, send_all
 from .dispatch import Call, Reply
 from .message import (
@@ -85,8 +85,7 @@
         self.metrics = metrics
         self.on_done = on_done
         self.closing = False
-        self._in_flight = 0
-        self._lock = threading.Lock()
+        self.activity = Activity()
 
     def open_session(self, sock: socket.socket) -> EntranceSession:
         """Return the session of a connection that a caller has opened."""
@@ -94,19 +93,6 @@
 
     def handle(self, request: Request, watch: Watch) -> Reply:
         """Return the outcome of one request."""
-        with self._lock:
-            self._in_flight += 1
-        try:
-            return self._handle(request, watch)
-        finally:
-            with self._lock:
-                self._in_flight -= 1
-
-    def in_flight(self) -> int:
-        """Return how many requests are being served."""
-        return self._in_flight
-
-    def _handle(self, request: Request, watch: Watch) -> Reply:
         arrived = self.clock.monotonic()
         call = self._make_call(request, arrived)
         if isinstance(call, Call):
@@ -198,9 +184,10 @@
         request = self._next_request()
         if request is None:
             return False
-        self._start_ahead()
-        reply = self._entrance.handle(request, self._watch)
-        return self._write(reply, request.keep_alive) and self._finish_pending()
+        with self._entrance.activity:
+            self._start_ahead()
+            reply = self._entrance.handle(request, self._watch)
+            return self._write(reply, request.keep_alive) and self._finish_pending()
 
     def close(self) -> None:
         """Cancel the calls that other tasks still serve."""
--- a/src/cyclamenvane/mesh/hosting.py
+++ b/src/cyclamenvane/mesh/hosting.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+from .activity import Activity
 from .connection import limit_receive
 from .frames import FrameError, FrameStream
 from .order import FrameKind, Order
@@ -42,6 +43,7 @@
         self._liaison = liaison
         self._find_address = find_address
         self._version = version
+        self.activity = Activity()
 
     def open_session(self, sock: socket.socket) -> HostSession:
         """Return the session of a connection that another node has opened."""
@@ -90,16 +92,19 @@
                 if resumed and not self._watch.check_caller():
                     return None
                 resumed = False
-                answer = self._host.answer(frame, self._watch, self.sock)
-                until = self._clock.monotonic() + _SEND_TIMEOUT
-                if self._watch.gone:
-                    return None
-                sent = self._stream.send(answer, self._watch, until)
-                if sent is not Waited.READY:
-                    return None
+                with self._host.activity:
+                    if not self._answer(frame):
+                        return None
         except OSError:
             # The other node closed its stream, which cancels its order.
             return None
 
+    def _answer(self, frame: list[Any]) -> bool:
+        answer = self._host.answer(frame, self._watch, self.sock)
+        until = self._clock.monotonic() + _SEND_TIMEOUT
+        if self._watch.gone:
+            return False
+        return self._stream.send(answer, self._watch, until) is Waited.READY
+
     def close(self) -> None:
         """Nothing is held beside the connection."""
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -41,7 +41,7 @@
 from .publication import NODES_TABLE, Publication, decode_record
 from .rank import Rank, Run, Runs, rank_root
 from .registration import Registration, TargetState
-from .rows import RowChange, RowStore
+from .rows import RowChange, RowStore, StoredRow
 from .subscription import Subscription
 from .upstream import Upstream
 
@@ -56,10 +56,11 @@
 # Callers are sent elsewhere after two unanswered questions for readiness, which
 # come once a second.
 _NOTICE = timedelta(seconds=2.5)
+_LEAVE = timedelta(milliseconds=500)  # for other nodes' orders to name another target
 _EXIT_MARGIN = timedelta(milliseconds=700)  # before the platform kills the process
 _GATHER = timedelta(milliseconds=60)  # changes that come together are read together
 _READ_SHARE = 0.33  # of the store's reads, for the records of nodes
-_POLL = timedelta(milliseconds=50)
+_POLL = timedelta(milliseconds=100)
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +148,7 @@
             settings.peer_listener,
             settings.service,
             state.heartbeat.slots if state else 0,
-            self._stopping or state is None or not state.serving,
+            state is None or not state.serving,
             state.heartbeat.incarnation if state else None,
         )
 
@@ -180,17 +181,24 @@
         self.executor.submit(self.liaison.run)
 
     def stop(self) -> bool:
-        """Finish the calls under way; return whether all have ended."""
+        """Finish the calls under way; return whether all have ended.
+
+        Callers are sent elsewhere first, then other nodes, then orders for the
+        target are refused as not run, and what is under way is waited for.
+        """
         began = self._clock.monotonic()
-        self._stopping = self.courier.stopping = self.entrance.closing = True
-        eliot.log_message("node:stopping")
         last = began + self.settings.grace - _EXIT_MARGIN
-        notice = min(began + _NOTICE, last)
+        self._stopping = self.entrance.closing = True
+        eliot.log_message("node:stopping")
+        notice = min(_NOTICE, self.settings.grace / 2)
+        self._lifetime(max(notice - _LEAVE, timedelta()))
+        self.courier.leaving = True
+        self._lifetime(_LEAVE)
+        self.courier.closed = True
         while self._clock.monotonic() < last:
-            idle = not self.entrance.in_flight() and not self.gate.load().in_flight
-            if idle and self._clock.monotonic() >= notice:
-                return True
             self._lifetime(_POLL)
+            if not self.entrance.activity.count() and not self._host.activity.count():
+                return True
         return False
 
     def reload(self, settings: MeshSettings) -> None:
@@ -248,7 +256,7 @@
     def _make_acceptors(self) -> tuple[Acceptor, ...]:
         settings = self.settings
         most = int(settings.descriptors * _LISTENER_SHARE)
-        host = Host(
+        self._host = Host(
             self.courier,
             self._clock,
             self.liaison,
@@ -265,7 +273,7 @@
             ),
             Acceptor(
                 settings.peer_listener,
-                host.open_session,
+                self._host.open_session,
                 self.executor,
                 self._parking,
                 most,
@@ -319,14 +327,29 @@
         found = {change.key for change in changes}
         for change in changes:
             self._take_node(change)
+            if change.key == self.settings.node and change.row is not None:
+                self._restore(change.row)
         for peer in self.directory.peers():
             if peer.record.node not in found:
                 self.directory.drop(peer.record.node)
         if self.settings.node not in found:
+            self._publish()
+
+    def _restore(self, row: StoredRow) -> None:
+        # An earlier run may have acknowledged that the target ends.
+        record = decode_record(row.value)
+        if record is not None and record.leaving and record.incarnation is not None:
+            self.registration.restore_end(record.incarnation)
+
+    def _publish(self) -> None:
+        # Until the target has sent a heartbeat there is nothing to tell.
+        if self.registration.state() is not None:
             self._publication.note_change()
 
     def _take_node(self, change: RowChange) -> None:
         if change.row is None:
+            if change.key == self.settings.node:
+                self._publish()
             if self.directory.drop(change.key):
                 eliot.log_message("node:removed", node=change.key)
             return
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -118,6 +118,17 @@
             self._on_change(self._state)
         return True
 
+    def restore_end(self, incarnation: Incarnation) -> None:
+        """Take it from an earlier run of the node that a target has ended."""
+        with self._lock:
+            self._remember_end(incarnation)
+            state = self._state
+            ended = state is not None and state.heartbeat.incarnation == incarnation
+            if ended:
+                self._state = TargetState(state.heartbeat, ended=True)
+        if ended:
+            self._on_change(self._state)
+
     def _find_fault(self, heartbeat: Heartbeat) -> str:
         incarnation = heartbeat.incarnation
         ended = self._ended.get(incarnation.instance)
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import base64
 import http.client
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
+from datetime import timedelta
 
 import pytest
-from mesh_harness import await_true, make_request, route
+from builders import make_heartbeat
+from mesh_harness import await_true, free_port, make_request, route
 from target_standin import make_answer
 
+from cyclamenvane.clock import SystemClock
+from cyclamenvane.mesh import MeshNode
 from cyclamenvane.mesh.model import Incarnation, NodeRecord
+from cyclamenvane.mesh.publication import decode_record
+from cyclamenvane.platform import make_adapter
+from cyclamenvane.platform.store import RowsClient
 
 INCARNATION = Incarnation(1, "i-silent")
 POST = {"routeType": "non_idempotent"}
@@ -309,3 +317,60 @@
     assert member.call("/other/").status == 503, "nothing is known of that target yet"
     assert member.beat() == 200
     assert member.call("/other/").status == 200
+
+
+def test_a_restarted_node_remembers_that_its_target_has_ended(mesh):
+    member = mesh.add()
+    mesh.configure(route())
+    mesh.settle()
+    assert member.beat("draining") == 200
+    name = member.settings.node
+    place = ("cyclamenvane-nodes", "a", name)
+    await_true(lambda: decode_stored(mesh, place).leaving)
+    member.node.kill()
+    again = MeshNode(
+        replace(
+            member.settings,
+            caller_listener=(member.host, free_port(member.host)),
+            peer_listener=(member.host, free_port(member.host)),
+        ),
+        make_adapter(free_port(member.host)),
+        SystemClock(),
+    )
+    page = RowsClient(mesh.store.address, timedelta(seconds=1)).read(
+        "cyclamenvane-nodes", "a"
+    )
+    again._take_all_nodes(list(page.ok.changes))
+    late = make_heartbeat(
+        incarnation=Incarnation(1_700_000_000_001, member.target.instance),
+        address=member.target.address,
+    )
+    assert not again.registration.note_heartbeat(late).taken
+    again.kill()
+
+
+def decode_stored(mesh, place):
+    return decode_record(base64.b64decode(mesh.store.rows[place]["value"]))
+
+
+def test_a_lost_record_is_written_again(mesh):
+    member = mesh.add()
+    mesh.configure(route())
+    mesh.settle()
+    place = ("cyclamenvane-nodes", "a", member.settings.node)
+    await_true(lambda: place in mesh.store.rows)
+    table, part, key = place
+    mesh.store.transact({"deletes": [{"table": table, "part": part, "key": key}]})
+    await_true(lambda: place in mesh.store.rows, 2)
+
+
+def test_a_stopping_node_refuses_orders_as_not_run_before_it_ends(mesh):
+    entry, stopping, other = mesh.add("desk"), mesh.add(), mesh.add()
+    mesh.configure(route("post", "/orders/", **POST))
+    mesh.settle()
+    ended = stopping.node.executor.submit(stopping.node.stop)
+    statuses = []
+    while not ended.done():
+        statuses.append(entry.call("/orders/", "POST", b"x").status)
+    assert set(statuses) == {200}
+    assert stopping.target.ran and other.target.ran
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -84,3 +84,16 @@
     assert not registration.note_heartbeat(make_heartbeat(service="other")).taken
     moved = make_heartbeat(address=("127.0.0.1", 9999))
     assert not registration.note_heartbeat(moved).taken
+
+
+@pytest.mark.parametrize("heard_first", [True, False])
+def test_an_end_acknowledged_by_an_earlier_run_of_the_node_holds(
+    registration, heard_first
+):
+    if heard_first:
+        registration.note_heartbeat(make_heartbeat())
+    registration.restore_end(Incarnation(1000, "i-1"))
+    assert not registration.note_heartbeat(make_heartbeat(sequence=9)).taken
+    assert not registration.is_serving()
+    next_start = make_heartbeat(incarnation=Incarnation(2000, "i-1"))
+    assert registration.note_heartbeat(next_start).taken
