--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -68,7 +68,7 @@
         self.target = TargetStandIn(instance=f"i-{number}", host=self.host)
         self._mesh = mesh
         self._sequence = itertools.count(1)
-        self._born = 1_700_000_000_000 + number
+        self.born = 1_700_000_000_000 + number
         self.settings = self._make_settings(f"n-{number}")
         self.node = MeshNode(
             self.settings, make_adapter(mesh.metrics_port), SystemClock()
@@ -101,7 +101,7 @@
         host, port = self.target.address
         document = {
             "address": f"{host}:{port}",
-            "born": self._born,
+            "born": self.born,
             "info": {
                 "service": self.service,
                 "zone": self.zone,
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -342,7 +342,7 @@
     )
     again._take_all_nodes(list(page.ok.changes))
     late = make_heartbeat(
-        incarnation=Incarnation(1_700_000_000_001, member.target.instance),
+        incarnation=Incarnation(member.born, member.target.instance),
         address=member.target.address,
     )
     assert not again.registration.note_heartbeat(late).taken
