Signal a pipelined answer only once it can be taken

Cause: a test failed once (pipelined requests, ten seconds without an answer). The task that served a request ahead raised its signal before its future was done; the waiting task woke, found nothing, cleared the signal and waited for good. A test that races the two 150 times failed at once before the change.

Change: the signal is raised by the future's callback.

--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -272,16 +272,16 @@
         while self._reader.ready:
             request = self._reader.ready.popleft()
             future = self._entrance.executor.submit(self._serve_ahead, request)
+            # Raised only once the future is done, or its waiter would miss it.
+            done = self._done
+            future.add_done_callback(lambda _: done.raise_())
             self._pending.append(_Pending(future, request.keep_alive))
         self._reader.buffered = 0
 
     def _serve_ahead(self, request: Request) -> Reply:
-        cancelled, done = self._cancelled, self._done
+        cancelled = self._cancelled
         watch = Watch(self._clock, cancelled.descriptor, lambda: False)
-        try:
-            return self._entrance.handle(request, watch)
-        finally:
-            done.raise_()
+        return self._entrance.handle(request, watch)
 
     def _finish_pending(self) -> bool:
         """Write the answers of requests served by other tasks, in order."""
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -63,6 +63,19 @@
     assert time.monotonic() - began < 0.9
 
 
+def test_pipelined_answers_are_never_left_behind(pair):
+    """Each round races the end of a task against the one that waits for it."""
+    entry, _ = pair
+    with entry.connect() as sock:
+        sock.settimeout(2)
+        for turn in range(150):
+            names = [f"t{turn}n{number}" for number in range(3)]
+            sock.sendall(b"".join(make_request(attempt=name) for name in names))
+            received = b""
+            while received.count(b"whole") < 3:
+                received += sock.recv(65536)
+
+
 def test_a_body_arrives_unchanged(pair):
     entry, beside = pair
     body = bytes(range(256)) * 2000
