--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -53,10 +53,17 @@
 
     def is_usable(self, now: timedelta) -> bool:
         """Return whether the target may be sent calls."""
+        return self.is_last_resort(now) and self._refused_run != self.record.run
+
+    def is_last_resort(self, now: timedelta) -> bool:
+        """Return whether calls may be sent when there is no other target.
+
+        A node that is about to end serves calls for a moment yet.
+        """
         record = self.record
         if record.leaving or record.incarnation is None:
             return False
-        return now >= self._paused_until and self._refused_run != record.run
+        return now >= self._paused_until
 
     def is_unreachable(self) -> bool:
         """Return whether the node could not be reached when last tried."""
@@ -95,11 +102,19 @@
         if self.faults:
             self.faults = max(0.0, self.faults - 1 / _RECOVERY_CALLS)
 
-    def note_unreachable(self) -> None:
-        """Leave the node alone for a while, longer each time."""
+    def note_unreachable(self) -> bool:
+        """Leave the node alone for a while, longer each time.
+
+        Returns False when it is left alone already: calls that were on their way
+        together fail together, and count as one try.
+        """
+        now = self._clock.monotonic()
+        if now < self._paused_until:
+            return False
         doubled = self._pause * 2 if self._pause else _FIRST_PAUSE
         self._pause = min(doubled, _LONGEST_PAUSE)
-        self._paused_until = self._clock.monotonic() + self._pause
+        self._paused_until = now + self._pause
+        return True
 
     def note_reachable(self) -> None:
         """Note that the node answers again."""
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -214,8 +214,8 @@
         if delivery.load == Load():
             # A node that lives judges each order, at its deadline at the latest.
             if delivery.reason in (Reason.UNREACHABLE, Reason.TIMED_OUT):
-                peer.note_unreachable()
-                self._on_unreachable(peer.record)
+                if peer.note_unreachable():
+                    self._on_unreachable(peer.record)
             return
         peer.note_load(delivery.load)
         if call.parent is not None:
--- a/src/cyclamenvane/mesh/placement.py
+++ b/src/cyclamenvane/mesh/placement.py
@@ -45,11 +45,12 @@
     sample: Callable[[Sequence[Peer], int], list[Peer]] = random.sample,
 ) -> Peer | None:
     """Return the target for a call, or None when none can be used."""
-    near: list[Peer] = []
-    far: list[Peer] = []
-    for peer in peers:
-        if peer.record.node not in tried and peer.is_usable(now):
-            (near if peer.record.zone == own_zone else far).append(peer)
+    left = [peer for peer in peers if peer.record.node not in tried]
+    usable = [peer for peer in left if peer.is_usable(now)]
+    if not usable:
+        usable = [peer for peer in left if peer.is_last_resort(now)]
+    near = [peer for peer in usable if peer.record.zone == own_zone]
+    far = [peer for peer in usable if peer.record.zone != own_zone]
     best = _least_used(near, sample)
     if best is not None and _weigh(best) < _FULL:
         return best
