Bound a call's waits at all targets together, and count it once

Cause: reading the dispatcher again: a call that was refused for want of room was counted as a new one at each further target, so it earned repeats it should not, and it could wait half of its objective at each of five targets. Four services of a chain that fail together could pass the budget of repeats at the last one.

Change: a call is counted once, its waits are bounded together, and a smaller share of the budget is spent.

--- a/src/cyclamenvane/mesh/budget.py
+++ b/src/cyclamenvane/mesh/budget.py
@@ -20,8 +20,8 @@
 __all__ = ["RetryBudget"]
 
 # A repeated call repeats its own calls too, which count where they arrive. So a
-# service spends a part of what is allowed: three in a chain may do so at once.
-_SPENT_SHARE = 0.22
+# service spends a part of what is allowed: four in a chain may do so at once.
+_SPENT_SHARE = 0.16
 _SAVED_SHARE = 0.5  # of a window's earnings that may be saved for a burst
 
 
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -134,6 +134,7 @@
         sends = 0
         last = Delivery(Verdict.NOT_RUN, Reason.NO_TARGET)
         unknown: Delivery | None = None
+        self._budget.note_call(service, self._node_count())
         while len(tried) <= _REFUSALS_FREE:
             now = self._clock.monotonic()
             if now >= call.deadline:
@@ -143,8 +144,6 @@
                 break
             if sends and not self._budget.spend(service, self._node_count()):
                 break
-            if not sends:
-                self._budget.note_call(service, self._node_count())
             tried.add(peer.record.node)
             last = self._offer(call, service, peer, watch)
             if last.verdict is Verdict.ANSWERED:
@@ -177,8 +176,6 @@
     def _offer(self, call: Call, service: str, peer: Peer, watch: Watch) -> Delivery:
         remaining = call.deadline - self._clock.monotonic()
         route = call.route
-        share = _INNER_WAIT_SHARE if call.rank.depth else _WAIT_SHARE
-        bound = remaining if call.rank.depth else route.objective
         order = Order(
             service,
             call.head,
@@ -186,7 +183,7 @@
             call.attempt,
             route.repeatable,
             remaining,
-            min(remaining, bound * share),
+            self._wait_left(call, remaining),
             call.rank,
             self._version(),
         )
@@ -202,6 +199,14 @@
         self._learn(call, peer, service, delivery, self._clock.monotonic() - sent)
         return delivery
 
+    def _wait_left(self, call: Call, remaining: timedelta) -> timedelta:
+        """Return how long a call may still wait, at all targets together."""
+        if call.rank.depth:
+            return remaining * _INNER_WAIT_SHARE
+        waited = self._clock.monotonic() - call.arrived
+        left = call.route.objective * _WAIT_SHARE - waited
+        return max(timedelta(), min(remaining, left))
+
     def _learn(
         self,
         call: Call,
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -51,7 +51,7 @@
     assert 10 <= spent <= RATIO * 1000
 
 
-@pytest.mark.parametrize("chain", [2, 3])
+@pytest.mark.parametrize("chain", [2, 3, 4])
 def test_services_of_a_chain_that_fail_together_stay_within_the_budget(clock, chain):
     """Each repeated run of an upper service repeats its calls further down."""
     calls, nodes = 200, 15
--- /dev/null
+++ b/tests/mesh/test_dispatch.py
@@ -0,0 +1,130 @@
+"""The targets that one call is offered to, and for how long it may wait."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from builders import make_record, make_route
+
+from cyclamenvane.calls import RANKS
+from cyclamenvane.mesh.budget import RetryBudget
+from cyclamenvane.mesh.directory import Directory
+from cyclamenvane.mesh.dispatch import Call, Dispatcher
+from cyclamenvane.mesh.levels import RouteLevels
+from cyclamenvane.mesh.metric import Metrics
+from cyclamenvane.mesh.order import Delivery, Load, Reason, Verdict
+from cyclamenvane.mesh.rank import Rank
+
+LOAD = Load(1, 16, RANKS, 1, False)
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Nodes:
+    """Other nodes that answer orders from a script, and take some time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.orders = []
+        self.took = 100 * MILLISECOND
+        self.outcome = Delivery(Verdict.NOT_RUN, Reason.NO_ROOM, load=LOAD)
+
+    def deliver(self, address, order, watch):
+        self.orders.append(order)
+        self.clock.passed += self.took
+        return self.outcome
+
+
+@pytest.fixture
+def nodes(clock):
+    return Nodes(clock)
+
+
+@pytest.fixture
+def budget(clock):
+    return RetryBudget(0.2, 49, timedelta(seconds=10), clock)
+
+
+@pytest.fixture
+def dispatcher(clock, nodes, budget):
+    directory = Directory("own", clock)
+    for number in range(8):
+        directory.take(make_record(f"n-{number}"))
+    return Dispatcher(
+        lambda: make_record("own", service="desk"),
+        directory,
+        None,
+        nodes.deliver,
+        budget,
+        RouteLevels(clock),
+        clock,
+        Metrics(),
+        lambda: 1,
+        lambda version, address: None,
+        lambda record: None,
+    )
+
+
+def make_call(clock, depth=0, **changes):
+    now = clock.monotonic()
+    deadline = now + timedelta(seconds=5)
+    route = make_route(**changes)
+    return Call(b"a", route, b"GET ", b"", Rank(0, depth), None, now, deadline)
+
+
+def test_all_targets_together_hold_a_call_for_half_of_its_objective(
+    dispatcher, nodes, clock
+):
+    reply = dispatcher.serve(make_call(clock), None)
+    assert reply.status == 503 and reply.retry_after > timedelta()
+    waits = [order.longest_wait for order in nodes.orders]
+    assert waits == [500 * MILLISECOND - number * nodes.took for number in range(5)]
+
+
+def test_a_call_earns_once_however_often_it_is_refused(
+    dispatcher, nodes, clock, budget
+):
+    nodes.took = timedelta()
+    once = RetryBudget(0.2, 49, timedelta(seconds=10), clock)
+    for _ in range(400):
+        dispatcher.serve(make_call(clock), None)
+        once.note_call("stock", 9)
+    assert spend_all(budget) == spend_all(once)
+
+
+def spend_all(budget):
+    spent = 0
+    while budget.spend("stock", 9):
+        spent += 1
+    return spent
+
+
+def test_an_unknown_end_is_final_unless_the_call_may_be_repeated(
+    dispatcher, nodes, clock
+):
+    nodes.outcome = Delivery(Verdict.UNKNOWN, Reason.BROKEN, load=LOAD)
+    assert dispatcher.serve(make_call(clock, repeatable=False), None).status == 502
+    assert len(nodes.orders) == 1
+    assert dispatcher.serve(make_call(clock), None).status == 502
+    assert len(nodes.orders) == 3, "two targets at most"
+
+
+def test_a_timeout_after_sending_is_no_refusal(dispatcher, nodes, clock):
+    nodes.outcome = Delivery(Verdict.UNKNOWN, Reason.TIMED_OUT, load=LOAD)
+    reply = dispatcher.serve(make_call(clock), None)
+    assert reply.status == 504 and reply.retry_after is None
+
+
+def test_an_unknown_end_outweighs_a_later_refusal(dispatcher, nodes, clock):
+    outcomes = [
+        Delivery(Verdict.UNKNOWN, Reason.BROKEN, load=LOAD),
+        Delivery(Verdict.NOT_RUN, Reason.TARGET_REFUSED, load=LOAD),
+    ]
+
+    def deliver(address, order, watch):
+        nodes.orders.append(order)
+        return outcomes[len(nodes.orders) - 1]
+
+    dispatcher._deliver_remotely = deliver
+    assert dispatcher.serve(make_call(clock), None).status == 502
+    assert len(nodes.orders) == 2
