Answer Expect: 100-continue when the head came alone

Cause: reading the entrance again: the interim answer was looked at only after further bytes had come, and a caller that waits for it sends none.

Change: it is sent before waiting.

Figures: the new test in tests/mesh/test_node.py waited two seconds in vain before, and passes.

--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -204,6 +204,9 @@
             if reader.problem is not None:
                 self._refuse(reader.problem.value)
                 return None
+            if reader.expects_continue and reader.in_body:
+                reader.expects_continue = False
+                self._send(_CONTINUE)
             until, late = self._read_bound(began)
             left = until - self._clock.monotonic()
             if left <= timedelta() or not self._watch.wait_caller(left):
@@ -217,9 +220,6 @@
             if not self._hold_memory():
                 self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, _NO_MEMORY_RETRY)
                 return None
-            if reader.expects_continue and reader.in_body:
-                reader.expects_continue = False
-                self._send(_CONTINUE)
         self._release_memory()
         return reader.ready.popleft()
 
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -59,6 +59,18 @@
     assert beside.target.ran[0].body == body
 
 
+def test_a_caller_that_waits_for_leave_to_send_its_body_gets_it(pair):
+    entry, beside = pair
+    whole = make_request("/orders/", "POST", b"abc", Expect="100-continue")
+    with entry.connect() as sock:
+        sock.settimeout(2)
+        sock.sendall(whole[:-3])
+        assert sock.recv(1000) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        sock.sendall(whole[-3:])
+        assert sock.recv(1000).startswith(b"HTTP/1.1 200")
+    assert beside.target.ran[0].body == b"abc"
+
+
 def test_no_route_and_no_configuration(mesh):
     member = mesh.add()
     answered = member.call()
