Name the methods of a signal like those of an event

Cause: raise_ is no name that a reader of Python expects.

Change: set and clear, as in threading.Event. Nothing else.

--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -192,7 +192,7 @@
     def close(self) -> None:
         """Cancel the calls that other tasks still serve."""
         if self._cancelled is not None:
-            self._cancelled.raise_()
+            self._cancelled.set()
         for pending in self._pending:
             pending.reply.cancel()
         self._entrance.memory.release(self._held)
@@ -273,9 +273,9 @@
         while self._reader.ready:
             request = self._reader.ready.popleft()
             future = self._entrance.executor.submit(self._serve_ahead, request)
-            # Raised only once the future is done, or its waiter would miss it.
+            # Set only once the future is done, or its waiter would miss it.
             done = self._done
-            future.add_done_callback(lambda _: done.raise_())
+            future.add_done_callback(lambda _: done.set())
             self._pending.append(_Pending(future, request.keep_alive))
         self._reader.buffered = 0
 
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -106,7 +106,7 @@
                 return Entry(False, timedelta())
             signal = Signal()
             waiting = Waiting(
-                rank.root, rank.depth, until, arrived, signal.raise_, _never
+                rank.root, rank.depth, until, arrived, signal.set, _never
             )
             self._queue.add(waiting)
         return self._await(waiting, signal, watch)
--- a/src/cyclamenvane/mesh/watch.py
+++ b/src/cyclamenvane/mesh/watch.py
@@ -32,17 +32,17 @@
 
 
 class Signal:
-    """A descriptor that becomes readable once, from another task."""
+    """An event between tasks that can be waited for beside a connection."""
 
     def __init__(self) -> None:
         self.descriptor = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
 
-    def raise_(self) -> None:
+    def set(self) -> None:
         """Make the descriptor readable."""
         os.eventfd_write(self.descriptor, 1)
 
     def clear(self) -> None:
-        """Make the descriptor unreadable until it is raised again."""
+        """Make the descriptor unreadable until it is set again."""
         try:
             os.eventfd_read(self.descriptor)
         except BlockingIOError:
