--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -105,9 +105,7 @@
                 self._level.note_overflow()
                 return Entry(False, timedelta())
             signal = Signal()
-            waiting = Waiting(
-                rank.root, rank.depth, until, arrived, signal.set, _never
-            )
+            waiting = Waiting(rank.root, rank.depth, until, arrived, signal.set, _never)
             self._queue.add(waiting)
         return self._await(waiting, signal, watch)
 
