--- a/src/cyclamenvane/mesh/configuration.py
+++ b/src/cyclamenvane/mesh/configuration.py
@@ -20,7 +20,6 @@
     """A configuration arranged for finding routes."""
 
     configuration: Configuration
-    lowest_priority: int
     limits: CallerLimits
     _by_prefix: dict[tuple[bytes, bytes], Route]
 
@@ -67,7 +66,6 @@
 def _arrange(configuration: Configuration) -> RouteTable:
     return RouteTable(
         configuration,
-        max((route.priority for route in configuration.routes), default=0),
         configuration.limits,
         {
             (route.host.encode(), route.prefix.encode()): route
--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from .model import Address, NodeRecord
+    from .model import NodeRecord
 
 __all__ = ["Directory", "Peer"]
 
@@ -164,13 +164,6 @@
         """Return the nodes whose targets belong to a service."""
         return self._by_service.get(service, [])
 
-    def find_address(self, address: Address) -> Peer | None:
-        """Return the node at an address."""
-        for peer in self.peers():
-            if peer.record.address == address:
-                return peer
-        return None
-
     def _index(self) -> None:
         index: dict[str, list[Peer]] = {}
         for peer in self._peers.values():
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -1,9 +1,8 @@
 """HTTP messages as a mesh node reads and writes them.
 
-`httptools` parses. `RequestReader` collects the requests of one connection, in
-order and each whole. `AnswerReader` collects the one answer that is awaited on
-a connection to a target. Heads are written as bytes once, and only completed
-with what differs for each hop.
+`httptools` parses. `RequestReader` collects the whole requests of a connection in
+order, `AnswerReader` the one answer that is awaited from a target. Heads are
+written once; each hop only completes them.
 """
 
 from __future__ import annotations
