Serve a connection in the task that accepted it, and read the clock less

Change: tasks accept, serve and accept again, eight at most wait at a time; signals of the gate are used again; placement, levels and delivery read the clock once a step; the load of a peer is counted on rather than built anew with each call.

--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -103,9 +103,10 @@
         `took` is the time that a call takes at the target at present, `has_room`
         says that a slot is free and nobody waits: any overload is over then.
         """
-        windows = (now - self._began) // self._tuning.window
-        if not windows:
+        passed = now - self._began
+        if passed < self._tuning.window:
             return
+        windows = passed // self._tuning.window
         if has_room or not self._is_overloaded(took):
             self._raise(windows)
         elif self._knows_too_little(windows):
--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -1,4 +1,8 @@
-"""Accepts connections, and serves each in a task while it is in use."""
+"""Accepts connections, and serves each in a task while it is in use.
+
+The task that has accepted a connection serves it itself, so a connection of one
+request costs one wake-up. Before it does, it makes sure that another task accepts.
+"""
 
 from __future__ import annotations
 
@@ -19,6 +23,9 @@
 __all__ = ["Acceptor", "Session"]
 
 _PAUSE = timedelta(milliseconds=50)
+# Tasks that wait for connections at the same time: a clump of callers finds one
+# each, and those beyond are started on demand.
+_MOST_ACCEPTING = 8
 
 
 class Session(Protocol):
@@ -60,30 +67,60 @@
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._ended = False
+        self._accepting = 0
         self.accepted = 0
         self.turned_away = 0
 
-    def run(self) -> None:
-        """Accept until `close`."""
+    def start(self) -> None:
+        """Accept and serve connections in tasks, until `close`."""
+        self._accepting = 1
+        self._executor.submit(self._run)
+
+    def _run(self) -> None:
         while not self._ended:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError as error:
-                if self._ended:
-                    return
+            sock = self._accept()
+            if sock is None:
+                continue
+            if self._leave_accepting():
+                self._executor.submit(self._run)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._serve(self._open_session(sock))
+            if not self._join_accepting():
+                return
+
+    def _accept(self) -> socket.socket | None:
+        try:
+            sock, _ = self._listener.accept()
+        except OSError as error:
+            if not self._ended:
                 eliot.log_message("mesh:accept_failed", error=str(error))
                 # Descriptors come back as connections end.
                 time.sleep(_PAUSE.total_seconds())
-                continue
-            if len(self._open) >= self._most:
-                self.turned_away += 1
-                sock.close()
-                continue
-            self.accepted += 1
-            with self._lock:
+            return None
+        with self._lock:
+            if len(self._open) < self._most:
+                self.accepted += 1
                 self._open.add(sock)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._executor.submit(self._serve, self._open_session(sock))
+                return sock
+            self.turned_away += 1
+        sock.close()
+        return None
+
+    def _leave_accepting(self) -> bool:
+        """Stop counting this task; return whether another has to take its place."""
+        with self._lock:
+            if self._accepting > 1:
+                self._accepting -= 1
+                return False
+        return True
+
+    def _join_accepting(self) -> bool:
+        """Count this task again, unless enough others accept already."""
+        with self._lock:
+            if self._accepting >= _MOST_ACCEPTING:
+                return False
+            self._accepting += 1
+            return True
 
     def close(self) -> None:
         """Stop accepting, and break the open connections."""
--- a/src/cyclamenvane/mesh/delivery.py
+++ b/src/cyclamenvane/mesh/delivery.py
@@ -82,7 +82,7 @@
         began = self._clock.monotonic()
         run = self._runs.begin(order.attempt, order.rank)
         try:
-            delivery = self._serve(order, watch)
+            delivery = self._serve(order, watch, began)
         finally:
             self._runs.end(order.attempt)
         delivery = replace(delivery, load=self.load(run))
@@ -111,17 +111,15 @@
             version=load.version,
         )
 
-    def _serve(self, order: Order, watch: Watch) -> Delivery:
-        deadline = self._clock.monotonic() + order.remaining
+    def _serve(self, order: Order, watch: Watch, now: timedelta) -> Delivery:
+        deadline = now + order.remaining
         if order.service != self._registration.service:
             return _not_run(Reason.OTHER_SERVICE)
         if self.closed:
             return _not_run(Reason.LEAVING)
         if not self._registration.is_serving():
             return _not_run(self._registration.refusal())
-        until = min(
-            deadline - _LEAST_TIME, self._clock.monotonic() + order.longest_wait
-        )
+        until = min(deadline - _LEAST_TIME, now + order.longest_wait)
         entry = self._gate.enter(order.rank, until, watch)
         self._metrics.note_queue(entry.waited)
         if not entry.admitted:
--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from .order import Load
+from .order import NO_LOAD, Load
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -32,24 +32,22 @@
         self.in_flight = 0
         self.faults = 0.0
         self._clock = clock
-        self._load = Load()
+        self._load = NO_LOAD
         self._load_at = timedelta()
+        self._sent_since = 0
         self._pause = timedelta()
         self._paused_until = timedelta()
         self._refused_run = 0
 
-    @property
-    def load(self) -> Load:
-        """The load last told, or an empty one when that is long ago."""
-        if self._clock.monotonic() - self._load_at > _LOAD_VALID_FOR:
-            return Load()
-        return self._load
-
-    def used_share(self) -> float:
+    def used_share(self, now: timedelta) -> float:
         """Return how much of the target's room is taken, as far as known."""
-        load = self.load
-        limit = load.limit or self.record.slots or 1
-        return (max(load.in_flight, self.in_flight) + 1) / limit
+        limit = self.record.slots
+        in_flight = self.in_flight
+        if now - self._load_at <= _LOAD_VALID_FOR:
+            # Until the next news, the calls sent since are part of the load.
+            in_flight = max(in_flight, self._load.in_flight + self._sent_since)
+            limit = self._load.limit or limit
+        return (in_flight + 1) / (limit or 1)
 
     def is_usable(self, now: timedelta) -> bool:
         """Return whether the target may be sent calls."""
@@ -77,17 +75,14 @@
         """Take the load that came with a delivery."""
         self._load = load
         self._load_at = self._clock.monotonic()
+        self._sent_since = 0
         self._pause = timedelta()
         self._refused_run = self.record.run if load.leaving else 0
 
     def note_sent(self) -> None:
         """Count a call that is on its way."""
         self.in_flight += 1
-        load = self._load
-        # Until the next news, the calls sent since are part of the load.
-        self._load = Load(
-            load.in_flight + 1, load.limit, load.level, load.version, load.leaving
-        )
+        self._sent_since += 1
 
     def note_done(self) -> None:
         """Count a call that has ended."""
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING
 
 from .directory import Directory, Peer
-from .order import Delivery, Load, Order, Reason, Verdict
+from .order import NO_LOAD, Delivery, Order, Reason, Verdict
 from .placement import choose_peer, choose_service
 from .rank import Rank, Run
 
@@ -145,7 +145,7 @@
             if sends and not self._budget.spend(service, self._node_count()):
                 break
             tried.add(peer.record.node)
-            last = self._offer(call, service, peer, watch)
+            last = self._offer(call, service, peer, watch, now)
             if last.verdict is Verdict.ANSWERED:
                 return Reply(
                     last.status,
@@ -173,8 +173,10 @@
             peers = [self._local, *peers]
         return choose_peer(peers, own.zone, tried, now, len(call.body))
 
-    def _offer(self, call: Call, service: str, peer: Peer, watch: Watch) -> Delivery:
-        remaining = call.deadline - self._clock.monotonic()
+    def _offer(
+        self, call: Call, service: str, peer: Peer, watch: Watch, now: timedelta
+    ) -> Delivery:
+        remaining = call.deadline - now
         route = call.route
         order = Order(
             service,
@@ -183,11 +185,10 @@
             call.attempt,
             route.repeatable,
             remaining,
-            self._wait_left(call, remaining),
+            self._wait_left(call, remaining, now),
             call.rank,
             self._version(),
         )
-        sent = self._clock.monotonic()
         peer.note_sent()
         try:
             if peer is self._local:
@@ -196,15 +197,14 @@
                 delivery = self._deliver_remotely(peer.record.address, order, watch)
         finally:
             peer.note_done()
-        self._learn(call, peer, service, delivery, self._clock.monotonic() - sent)
+        self._learn(call, peer, service, delivery, self._clock.monotonic() - now)
         return delivery
 
-    def _wait_left(self, call: Call, remaining: timedelta) -> timedelta:
+    def _wait_left(self, call: Call, remaining: timedelta, now: timedelta) -> timedelta:
         """Return how long a call may still wait, at all targets together."""
         if call.rank.depth:
             return remaining * _INNER_WAIT_SHARE
-        waited = self._clock.monotonic() - call.arrived
-        left = call.route.objective * _WAIT_SHARE - waited
+        left = call.route.objective * _WAIT_SHARE - (now - call.arrived)
         return max(timedelta(), min(remaining, left))
 
     def _learn(
@@ -216,7 +216,7 @@
         took: timedelta,
     ) -> None:
         self._metrics.note_delivery(delivery)
-        if delivery.load == Load():
+        if delivery.load == NO_LOAD:
             # A node that lives judges each order, at its deadline at the latest.
             if delivery.reason in (Reason.UNREACHABLE, Reason.TIMED_OUT):
                 if peer.note_unreachable():
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -67,6 +67,7 @@
         self._in_flight = 0
         self._mean = _FIRST_MEAN
         self._queue = WaitingList()
+        self._signals: list[Signal] = []  # not in use; opening one is a system call
         self._lock = threading.Lock()
 
     def load(self) -> GateLoad:
@@ -104,7 +105,7 @@
             if arrived + self._wait_for(rank) > until:
                 self._level.note_overflow()
                 return Entry(False, timedelta())
-            signal = Signal()
+            signal = self._signals.pop() if self._signals else Signal()
             waiting = Waiting(rank.root, rank.depth, until, arrived, signal.set, _never)
             self._queue.add(waiting)
         return self._await(waiting, signal, watch)
@@ -121,11 +122,17 @@
         waited = watch.wait(signal.descriptor, waiting.deadline)
         took = self._clock.monotonic() - waiting.arrived
         with self._lock:
-            if not self._queue.remove(waiting):
+            granted = not self._queue.remove(waiting)
+            if granted:
                 self._level.note_start(took)
-                return Entry(True, took, watch.gone)
-            self._level.note_overflow()
-        return Entry(False, took, waited is Waited.CALLER_GONE)
+            else:
+                self._level.note_overflow()
+        if granted:
+            signal.clear()
+        # Only a granted call's signal is set, so this one is as good as new.
+        self._signals.append(signal)
+        gone = watch.gone or waited is Waited.CALLER_GONE
+        return Entry(granted, took, gone)
 
     def _wait_for(self, rank: Rank) -> timedelta:
         ahead = self._queue.count_before(rank.root)
--- a/src/cyclamenvane/mesh/levels.py
+++ b/src/cyclamenvane/mesh/levels.py
@@ -29,14 +29,18 @@
 
     def note(self, route: str, level: int) -> None:
         """Take in the level that a tree of the route met."""
-        known = float(self.level(route))
+        now = self._clock.monotonic()
+        known = float(self._level_at(route, now))
         smoothed = known + (level - known) * _SMOOTHING
-        self._levels[route] = (smoothed, self._clock.monotonic())
+        self._levels[route] = (smoothed, now)
 
     def level(self, route: str) -> int:
         """Return the level of a route: ranks below it are admitted."""
+        return self._level_at(route, self._clock.monotonic())
+
+    def _level_at(self, route: str, now: timedelta) -> int:
         found = self._levels.get(route)
         if found is None:
             return RANKS
         level, heard = found
-        return regain_level(int(level), self._clock.monotonic() - heard)
+        return regain_level(int(level), now - heard)
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -180,7 +180,7 @@
         self._admin = AdminServer(application, listeners)
         self.executor.submit(self._admin.run)
         for acceptor in self._acceptors:
-            self.executor.submit(acceptor.run)
+            acceptor.start()
         self.executor.submit(self._parking.run)
         self.executor.submit(self.discovery.watch_configuration().run)
         self.executor.submit(self.discovery.watch_nodes().run)
--- a/src/cyclamenvane/mesh/order.py
+++ b/src/cyclamenvane/mesh/order.py
@@ -15,7 +15,15 @@
 from ..calls import RANKS
 from .rank import Rank
 
-__all__ = ["Delivery", "FrameKind", "Load", "Order", "Reason", "Verdict"]
+__all__ = [
+    "NO_LOAD",
+    "Delivery",
+    "FrameKind",
+    "Load",
+    "Order",
+    "Reason",
+    "Verdict",
+]
 
 _MICROSECOND = timedelta(microseconds=1)
 
@@ -68,6 +76,9 @@
     leaving: bool = False
 
 
+NO_LOAD = Load()  # what is known of a node that has told nothing
+
+
 @dataclass(frozen=True, slots=True)
 class Order:
     """One call for the target beside another node.
@@ -133,7 +144,7 @@
     body: bytes = b""
     not_before: timedelta = timedelta()
     detail: str = ""
-    load: Load = Load()
+    load: Load = NO_LOAD
 
     def pack(self) -> list[Any]:
         """Return the delivery as a frame."""
--- a/src/cyclamenvane/mesh/peering.py
+++ b/src/cyclamenvane/mesh/peering.py
@@ -109,12 +109,11 @@
             found.stream.close()
 
     def _keep(self, address: Address, stream: FrameStream) -> None:
-        until = self._clock.monotonic() + _LONGEST_IDLE
+        now = self._clock.monotonic()
         surplus = []
         with self._lock:
             idle = self._idle.setdefault(address, deque())
-            idle.append(_Idle(stream, until))
-            now = self._clock.monotonic()
+            idle.append(_Idle(stream, now + _LONGEST_IDLE))
             while len(idle) > _MOST_IDLE or idle[0].until < now:
                 surplus.append(idle.popleft())
         for each in surplus:
--- a/src/cyclamenvane/mesh/placement.py
+++ b/src/cyclamenvane/mesh/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
@@ -50,24 +51,27 @@
     if not usable:
         usable = [peer for peer in left if peer.is_last_resort(now)]
     near = [peer for peer in usable if peer.record.zone == own_zone]
-    far = [peer for peer in usable if peer.record.zone != own_zone]
-    best = _least_used(near, sample)
-    if best is not None and _weigh(best) < _FULL:
+    best, used = _find_least_used(near, now, sample)
+    if best is not None and used < _FULL:
         return best
-    other = _least_used(far, sample)
+    far = [peer for peer in usable if peer.record.zone != own_zone]
+    other, other_used = _find_least_used(far, now, sample)
     if best is None or other is None:
         return best or other
     margin = _MARGIN + _BODY_MARGIN * body_bytes / _BODY_UNIT
-    return other if _weigh(other) < _weigh(best) - margin else best
+    return other if other_used < used - margin else best
 
 
-def _least_used(
-    peers: list[Peer], sample: Callable[[Sequence[Peer], int], list[Peer]]
-) -> Peer | None:
+def _find_least_used(
+    peers: list[Peer],
+    now: timedelta,
+    sample: Callable[[Sequence[Peer], int], list[Peer]],
+) -> tuple[Peer | None, float]:
     if len(peers) > _CHOICES:
         peers = sample(peers, _CHOICES)
-    return min(peers, key=_weigh, default=None)
-
-
-def _weigh(peer: Peer) -> float:
-    return peer.used_share() + peer.faults * _FAULT_WEIGHT
+    best, least = None, math.inf
+    for peer in peers:
+        used = peer.used_share(now) + peer.faults * _FAULT_WEIGHT
+        if used < least:
+            best, least = peer, used
+    return best, least
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -123,6 +123,6 @@
 
 def test_old_news_of_a_load_is_forgotten(clock):
     peer = make_peer(clock, "n", in_flight=15)
-    assert peer.used_share() == 1.0
+    assert peer.used_share(clock.monotonic()) == 1.0
     clock.advance(timedelta(seconds=2).total_seconds())
-    assert peer.used_share() == 1 / 16
+    assert peer.used_share(clock.monotonic()) == 1 / 16
