--- a/src/cyclamenvane/admission/level.py
+++ b/src/cyclamenvane/admission/level.py
@@ -34,7 +34,7 @@
 _LONGEST_WINDOWS = 10
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class LevelTuning:
     """How quickly a level moves, and what wait it aims for.
 
--- a/src/cyclamenvane/admission/order.py
+++ b/src/cyclamenvane/admission/order.py
@@ -18,7 +18,7 @@
 __all__ = ["Waiting", "WaitingList"]
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(frozen=True, eq=False)
 class Waiting:
     """A call that asks to be admitted.
 
--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -148,10 +148,13 @@
         self._parking.park(
             session.sock,
             until,
-            lambda: self._executor.submit(self._serve, session),
+            lambda: self._resume(session),
             lambda: self._end(session),
         )
 
+    def _resume(self, session: Session) -> None:
+        self._executor.submit(self._serve, session)
+
     def _end(self, session: Session) -> None:
         session.close()
         with self._lock:
--- a/src/cyclamenvane/mesh/budget.py
+++ b/src/cyclamenvane/mesh/budget.py
@@ -25,7 +25,7 @@
 _SAVED_SHARE = 0.5  # of a window's earnings that may be saved for a burst
 
 
-@dataclass(slots=True)
+@dataclass
 class _Account:
     """The tokens of one service, and its calls of about the last window."""
 
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from .directory import Directory, Peer
+from .model import Route
 from .order import NO_LOAD, Delivery, Order, Reason, Verdict
 from .placement import choose_peer, choose_service
 from .rank import Rank, Run
@@ -23,10 +24,9 @@
 if TYPE_CHECKING:
     from ..clock import Clock
     from .budget import RetryBudget
-    from .delivery import Courier
     from .levels import RouteLevels
     from .metric import Metrics
-    from .model import Address, NodeRecord, Route
+    from .model import Address, NodeRecord
     from .watch import Watch
 
 __all__ = ["Call", "Dispatcher", "Reply"]
@@ -44,7 +44,7 @@
 _NO_TARGET_RETRY = timedelta(milliseconds=500)  # a heartbeat or two
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Call:
     """A call of a caller or of the target beside the node.
 
@@ -62,7 +62,7 @@
     deadline: timedelta
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Reply:
     """The outcome of a call: the target's answer, or a status of the node's own."""
 
@@ -89,7 +89,7 @@
         self,
         own: Callable[[], NodeRecord],
         directory: Directory,
-        deliver_locally: Courier,
+        deliver_locally: Callable[[Order, Watch], Delivery],
         deliver_remotely: Callable[[Address, Order, Watch], Delivery],
         budget: RetryBudget,
         levels: RouteLevels,
@@ -101,7 +101,7 @@
     ) -> None:
         self._own = own
         self._directory = directory
-        self._courier = deliver_locally
+        self._deliver_locally = deliver_locally
         self._deliver_remotely = deliver_remotely
         self._budget = budget
         self._levels = levels
@@ -192,7 +192,7 @@
         peer.note_sent()
         try:
             if peer is self._local:
-                delivery = self._courier.deliver(order, watch)
+                delivery = self._deliver_locally(order, watch)
             else:
                 delivery = self._deliver_remotely(peer.record.address, order, watch)
         finally:
--- a/src/cyclamenvane/mesh/entrance.py
+++ b/src/cyclamenvane/mesh/entrance.py
@@ -50,7 +50,7 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class _Pending:
     """A request that another task serves."""
 
@@ -58,6 +58,14 @@
     keep_alive: bool
 
 
+@dataclass(frozen=True)
+class _Ahead:
+    """Tells the tasks that serve pipelined requests, and hears of their ends."""
+
+    cancelled: Signal
+    done: Signal
+
+
 class Entrance:
     """Serves the connections of one listener."""
 
@@ -148,8 +156,7 @@
         self._reader = RequestReader(limits)
         self._watch = Watch(self._clock, sock.fileno(), self._read_ahead)
         self._pending: deque[_Pending] = deque()
-        self._cancelled: Signal | None = None
-        self._done: Signal | None = None
+        self._ahead: _Ahead | None = None
         self._held = 0
 
     def run(self) -> timedelta | None:
@@ -191,8 +198,8 @@
 
     def close(self) -> None:
         """Cancel the calls that other tasks still serve."""
-        if self._cancelled is not None:
-            self._cancelled.set()
+        if self._ahead is not None:
+            self._ahead.cancelled.set()
         for pending in self._pending:
             pending.reply.cancel()
         self._entrance.memory.release(self._held)
@@ -268,32 +275,35 @@
     def _start_ahead(self) -> None:
         if not self._reader.ready:
             return
-        if self._cancelled is None:
-            self._cancelled, self._done = Signal(), Signal()
+        ahead = self._ahead
+        if ahead is None:
+            ahead = self._ahead = _Ahead(Signal(), Signal())
+        done = ahead.done
         while self._reader.ready:
             request = self._reader.ready.popleft()
-            future = self._entrance.executor.submit(self._serve_ahead, request)
+            future = self._entrance.executor.submit(
+                self._serve_ahead, request, ahead.cancelled
+            )
             # Set only once the future is done, or its waiter would miss it.
-            done = self._done
             future.add_done_callback(lambda _: done.set())
             self._pending.append(_Pending(future, request.keep_alive))
         self._reader.buffered = 0
 
-    def _serve_ahead(self, request: Request) -> Reply:
-        cancelled = self._cancelled
+    def _serve_ahead(self, request: Request, cancelled: Signal) -> Reply:
         watch = Watch(self._clock, cancelled.descriptor, lambda: False)
         return self._entrance.handle(request, watch)
 
     def _finish_pending(self) -> bool:
         """Write the answers of requests served by other tasks, in order."""
-        while self._pending:
+        ahead = self._ahead
+        while ahead is not None and self._pending:
             pending = self._pending[0]
             while not pending.reply.done():
                 until = self._clock.monotonic() + timedelta(seconds=60)
-                waited = self._watch.wait(self._done.descriptor, until)
+                waited = self._watch.wait(ahead.done.descriptor, until)
                 if waited is Waited.CALLER_GONE:
                     return False
-                self._done.clear()
+                ahead.done.clear()
             self._pending.popleft()
             if not self._write(pending.reply.result(), pending.keep_alive):
                 return False
--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -14,17 +14,14 @@
 import msgpack
 
 from .connection import FIRST_BYTES, RECEIVE_BYTES, send_all
+from .errors import FrameError
 from .watch import Waited, Watch
 
-__all__ = ["FrameError", "FrameStream"]
+__all__ = ["FrameStream"]
 
 _LARGEST_FRAME = 128 * 1024 * 1024
 
 
-class FrameError(OSError):
-    """The other side sent bytes that are no frame."""
-
-
 class FrameStream:
     """The frames of one connection."""
 
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -48,7 +48,7 @@
     caller_gone: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class GateLoad:
     """How full the gate is: calls at the target and in the queue, and the limit."""
 
--- a/src/cyclamenvane/mesh/hosting.py
+++ b/src/cyclamenvane/mesh/hosting.py
@@ -9,7 +9,8 @@
 
 from .activity import Activity
 from .connection import limit_receive
-from .frames import FrameError, FrameStream
+from .errors import FrameError
+from .frames import FrameStream
 from .order import FrameKind, Order
 from .watch import Waited, Watch, watch_socket
 
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
+from typing import Any
 
 import httptools
 
@@ -47,7 +48,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class HeaderNames:
     """The headers that carry a call's identity and bounds, in lower case."""
 
@@ -68,7 +69,7 @@
     BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Request:
     """A whole request; header names are in lower case."""
 
@@ -95,24 +96,31 @@
         self.in_body = False
         self.expects_continue = False
         self.buffered = 0
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
 
     def feed(self, data: bytes) -> Problem | None:
         """Take in bytes; whole requests appear in `ready`."""
-        if self.problem is None:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserError:
-                self.problem = self.problem or Problem.MALFORMED
-            except httptools.HttpParserUpgrade:
-                self.problem = Problem.MALFORMED
+        if self.problem is None and not self._parse(data):
+            self._note_malformed()
         if self.in_head and self.problem is None:
             self._head_bytes += len(data)
             if self._head_bytes > 2 * self.limits.header_bytes:
                 self.problem = Problem.HEAD_TOO_LARGE
         return self.problem
 
+    def _parse(self, data: bytes) -> bool:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        return True
+
+    def _note_malformed(self) -> None:
+        # A callback that ended the parsing has said why.
+        if self.problem is None:
+            self.problem = Problem.MALFORMED
+
     def _reset(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -214,7 +222,7 @@
         self._no_body = method == b"HEAD"
         self._length_known = False
         self._keep_alive = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
 
     @property
     def body(self) -> bytes:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -235,7 +235,7 @@
         return Dispatcher(
             self.record,
             self.directory,
-            self.courier,
+            self.courier.deliver,
             self._peers.deliver,
             self._budget,
             self._levels,
--- a/src/cyclamenvane/mesh/order.py
+++ b/src/cyclamenvane/mesh/order.py
@@ -60,7 +60,7 @@
     OTHER_SERVICE = 9
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Load:
     """What a node tells of its target with each delivery.
 
@@ -79,7 +79,7 @@
 NO_LOAD = Load()  # what is known of a node that has told nothing
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Order:
     """One call for the target beside another node.
 
@@ -129,7 +129,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Delivery:
     """What became of an order.
 
--- a/src/cyclamenvane/mesh/peering.py
+++ b/src/cyclamenvane/mesh/peering.py
@@ -28,7 +28,7 @@
 _MOST_IDLE = 32  # connections to one node that wait for an order
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class _Idle:
     stream: FrameStream
     until: timedelta
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -44,7 +44,7 @@
     CALLER_GONE = "caller gone"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Exchange:
     """An exchange's end, and the answer if there is one."""
 
@@ -55,7 +55,7 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class _Idle:
     sock: socket.socket
     since: timedelta
--- a/tests/mesh/builders.py
+++ b/tests/mesh/builders.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 from datetime import timedelta
 
+from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.model import (
     CallerLimits,
     Configuration,
@@ -16,8 +18,10 @@
 )
 from cyclamenvane.mesh.order import Order
 from cyclamenvane.mesh.rank import Rank
+from cyclamenvane.mesh.watch import Watch, watch_socket
 
 TARGET = ("127.0.0.1", 8301)
+_KEPT = []  # sockets that would be closed with their last reference
 
 
 def make_route(**changes) -> Route:
@@ -83,3 +87,10 @@
         "version": 1,
     }
     return Order(**(fields | changes))
+
+
+def make_watch() -> Watch:
+    """Return the watch of a caller that stays and sends nothing."""
+    ours, theirs = socket.socketpair()
+    _KEPT.append((ours, theirs))
+    return watch_socket(SystemClock(), ours)
--- a/tests/mesh/test_acceptor.py
+++ b/tests/mesh/test_acceptor.py
@@ -35,28 +35,28 @@
 
 
 @pytest.fixture
-def acceptor():
+def listening():
     address = ("127.0.0.1", free_port("127.0.0.1"))
     HeldSession.released.clear()
     pool = ThreadPoolExecutor(64)
     parking = Parking(SystemClock(), Lifetime())
     made = Acceptor(address, HeldSession, pool, parking, most=30)
-    made.address = address
     made.start()
-    yield made
+    yield made, address
     HeldSession.released.set()
     made.close()
     pool.shutdown()
 
 
-def connect(acceptor) -> socket.socket:
-    sock = socket.create_connection(acceptor.address)
+def connect(address) -> socket.socket:
+    sock = socket.create_connection(address)
     sock.settimeout(5)
     return sock
 
 
-def test_connections_are_served_while_others_wait(acceptor):
-    socks = [connect(acceptor) for _ in range(25)]
+def test_connections_are_served_while_others_wait(listening):
+    acceptor, address = listening
+    socks = [connect(address) for _ in range(25)]
     assert [sock.recv(1) for sock in socks] == [b"a"] * 25
     HeldSession.released.set()
     assert [sock.recv(1) for sock in socks] == [b"b"] * 25
@@ -64,10 +64,11 @@
     await_true(lambda: acceptor.count() == 0)
 
 
-def test_clumps_are_served_one_after_another(acceptor):
+def test_clumps_are_served_one_after_another(listening):
+    acceptor, address = listening
     HeldSession.released.set()
     for _ in range(20):
-        socks = [connect(acceptor) for _ in range(20)]
+        socks = [connect(address) for _ in range(20)]
         for sock in socks:
             received = b""
             while data := sock.recv(10):
@@ -77,8 +78,9 @@
     assert acceptor.accepted == 400 and not acceptor.turned_away
 
 
-def test_connections_beyond_the_bound_are_closed_unread(acceptor):
-    socks = [connect(acceptor) for _ in range(30)]
+def test_connections_beyond_the_bound_are_closed_unread(listening):
+    acceptor, address = listening
+    socks = [connect(address) for _ in range(30)]
     assert [sock.recv(1) for sock in socks] == [b"a"] * 30
-    assert connect(acceptor).recv(1) == b""
+    assert connect(address).recv(1) == b""
     assert acceptor.turned_away == 1
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 import pytest
-from builders import make_record, make_route
+from builders import make_record, make_route, make_watch
 
 from cyclamenvane.calls import RANKS
 from cyclamenvane.mesh.budget import RetryBudget
@@ -18,6 +18,7 @@
 
 LOAD = Load(1, 16, RANKS, 1, False)
 MILLISECOND = timedelta(milliseconds=1)
+WATCH = make_watch()
 
 
 class Nodes:
@@ -75,7 +76,7 @@
 def test_all_targets_together_hold_a_call_for_half_of_its_objective(
     dispatcher, nodes, clock
 ):
-    reply = dispatcher.serve(make_call(clock), None)
+    reply = dispatcher.serve(make_call(clock), WATCH)
     assert reply.status == 503 and reply.retry_after > timedelta()
     waits = [order.longest_wait for order in nodes.orders]
     assert waits == [500 * MILLISECOND - number * nodes.took for number in range(5)]
@@ -87,7 +88,7 @@
     nodes.took = timedelta()
     once = RetryBudget(0.2, 49, timedelta(seconds=10), clock)
     for _ in range(400):
-        dispatcher.serve(make_call(clock), None)
+        dispatcher.serve(make_call(clock), WATCH)
         once.note_call("stock", 9)
     assert spend_all(budget) == spend_all(once)
 
@@ -103,15 +104,15 @@
     dispatcher, nodes, clock
 ):
     nodes.outcome = Delivery(Verdict.UNKNOWN, Reason.BROKEN, load=LOAD)
-    assert dispatcher.serve(make_call(clock, repeatable=False), None).status == 502
+    assert dispatcher.serve(make_call(clock, repeatable=False), WATCH).status == 502
     assert len(nodes.orders) == 1
-    assert dispatcher.serve(make_call(clock), None).status == 502
+    assert dispatcher.serve(make_call(clock), WATCH).status == 502
     assert len(nodes.orders) == 3, "two targets at most"
 
 
 def test_a_timeout_after_sending_is_no_refusal(dispatcher, nodes, clock):
     nodes.outcome = Delivery(Verdict.UNKNOWN, Reason.TIMED_OUT, load=LOAD)
-    reply = dispatcher.serve(make_call(clock), None)
+    reply = dispatcher.serve(make_call(clock), WATCH)
     assert reply.status == 504 and reply.retry_after is None
 
 
@@ -126,5 +127,5 @@
         return outcomes[len(nodes.orders) - 1]
 
     dispatcher._deliver_remotely = deliver
-    assert dispatcher.serve(make_call(clock), None).status == 502
+    assert dispatcher.serve(make_call(clock), WATCH).status == 502
     assert len(nodes.orders) == 2
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 import pytest
+from builders import make_watch
 
 from cyclamenvane.calls import RANKS
 from cyclamenvane.clock import SystemClock
@@ -80,11 +81,11 @@
 
 def test_the_most_important_root_goes_first_then_the_deepest_call(gate):
     for _ in range(3):
-        gate.enter(Rank(0, 0), CLOCK.monotonic() + LATE, _quiet())
+        gate.enter(Rank(0, 0), CLOCK.monotonic() + LATE, make_watch())
     order = []
 
     def wait(rank):
-        entry = gate.enter(rank, CLOCK.monotonic() + LATE, _quiet())
+        entry = gate.enter(rank, CLOCK.monotonic() + LATE, make_watch())
         order.append(rank)
         assert entry.admitted
         gate.leave(timedelta(milliseconds=1))
@@ -146,10 +147,3 @@
     assert levels.level("other") == RANKS
     clock.advance(2)
     assert levels.level("r") == RANKS
-
-
-def _quiet() -> Watch:
-    ours, theirs = socket.socketpair()
-    watch = watch_socket(CLOCK, ours)
-    watch.kept = ours, theirs
-    return watch
