Let a leaving target take calls for a moment where its service has no other

Seen beside it: a node that told of its target's end was used as a last resort only until its own next start, also after a new incarnation had registered there.

Change: the node takes calls for half of the drain time after the announcement, counted from the first one of an incarnation that this run has seen serving; a run that meets a target already draining gives it nothing, since an earlier run may have acknowledged it. Others choose such a target as a last resort, and leave it alone for a second after a refusal. What a peer told is forgotten with a new incarnation.

--- a/src/cyclamenvane/mesh/delivery.py
+++ b/src/cyclamenvane/mesh/delivery.py
@@ -117,7 +117,7 @@
             return _not_run(Reason.OTHER_SERVICE)
         if self.closed:
             return _not_run(Reason.LEAVING)
-        if not self._registration.is_serving():
+        if self._registration.serving_incarnation() is None:
             return _not_run(self._registration.refusal())
         until = min(deadline - _LEAST_TIME, now + order.longest_wait)
         entry = self._gate.enter(order.rank, until, watch)
--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -20,6 +20,8 @@
 
 _FIRST_PAUSE = timedelta(milliseconds=500)  # after a node could not be reached
 _LONGEST_PAUSE = timedelta(seconds=4)
+# Restarting a target or a node takes longer, and asking costs little.
+_CLOSED_PAUSE = timedelta(seconds=1)
 _LOAD_VALID_FOR = timedelta(seconds=1)  # older news of a load says nothing
 _RECOVERY_CALLS = 3  # answered calls after which a broken target counts as sound
 
@@ -38,6 +40,16 @@
         self._pause = timedelta()
         self._paused_until = timedelta()
         self._refused_run = 0
+        self._closed_until = timedelta()
+
+    def note_record(self, record: NodeRecord) -> None:
+        """Take a newer record; what was seen of an earlier start is forgotten."""
+        known, self.record = self.record, record
+        if record.run != known.run:
+            self.note_reachable()
+        if (record.run, record.incarnation) != (known.run, known.incarnation):
+            self._refused_run = 0
+            self._closed_until = timedelta()
 
     def used_share(self, now: timedelta) -> float:
         """Return how much of the target's room is taken, as far as known."""
@@ -51,15 +63,16 @@
 
     def is_usable(self, now: timedelta) -> bool:
         """Return whether the target may be sent calls."""
-        return self.is_last_resort(now) and self._refused_run != self.record.run
+        if self.record.leaving or self._refused_run == self.record.run:
+            return False
+        return self.is_last_resort(now)
 
     def is_last_resort(self, now: timedelta) -> bool:
         """Return whether calls may be sent when there is no other target.
 
-        A node that is about to end serves calls for a moment yet.
+        A node or a target that is about to end serves calls for a moment yet.
         """
-        record = self.record
-        if record.leaving or record.incarnation is None:
+        if self.record.incarnation is None or now < self._closed_until:
             return False
         return now >= self._paused_until
 
@@ -88,6 +101,10 @@
         """Count a call that has ended."""
         self.in_flight -= 1
 
+    def note_closed(self) -> None:
+        """Note that the node gives its target no more calls."""
+        self._closed_until = self._clock.monotonic() + _CLOSED_PAUSE
+
     def note_fault(self) -> None:
         """Note that the target broke a call."""
         self.faults = min(self.faults + 1.0, _RECOVERY_CALLS * 4)
@@ -137,10 +154,7 @@
             elif not _supersedes(record, peer.record):
                 return False
             else:
-                restarted = record.run != peer.record.run
-                peer.record = record
-                if restarted:
-                    peer.note_reachable()
+                peer.note_record(record)
             self._index()
         return True
 
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -231,6 +231,8 @@
             peer.note_success()
         elif delivery.reason in (Reason.BROKEN, Reason.TARGET_REFUSED):
             peer.note_fault()
+        elif delivery.reason is Reason.LEAVING:
+            peer.note_closed()
         if delivery.load.version > self._version():
             self._on_newer_version(delivery.load.version, peer.record.address)
 
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -84,7 +84,11 @@
             clock,
         )
         self.registration = Registration(
-            settings.service, settings.target, self._note_target
+            settings.service,
+            settings.target,
+            settings.drain,
+            clock,
+            self._note_target,
         )
         self.directory = Directory(settings.node, clock)
         self._levels = RouteLevels(clock)
@@ -214,6 +218,7 @@
             return
         self.settings = settings
         self.registration.move(settings.service, settings.target)
+        self.registration.drain = settings.drain
         self._upstream.move(settings.target)
         self._budget.retune(
             settings.budget_ratio, settings.budget_slack, settings.budget_window
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -2,7 +2,8 @@
 
 Heartbeats are ordered by the target's own start and sequence, never by arrival.
 Once a target has announced its end, nothing that the same incarnation sent
-before brings it back.
+before brings it back. For a moment after the announcement it is still given calls:
+those that were on their way to it, and those that have no other target.
 """
 
 from __future__ import annotations
@@ -10,28 +11,38 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from .order import Reason
 
 if TYPE_CHECKING:
+    from ..clock import Clock
     from .model import Address, Heartbeat, Incarnation
 
 __all__ = ["HeartbeatVerdict", "Registration", "TargetState"]
 
+# Of the time in which calls may reach a target that has announced its end. The
+# rest is for a node that is held up between its last look and the sending.
+_DRAIN_SHARE = 0.5
 _OLD_INCARNATIONS = 64  # ended ones whose late heartbeats are recognised
 
 
 @dataclass(frozen=True, slots=True)
 class TargetState:
-    """The newest heartbeat, and whether the target has announced its end."""
+    """The newest heartbeat, and whether the target has announced its end.
+
+    `last_calls_until` is the time until which a target that has announced its end
+    is still given calls.
+    """
 
     heartbeat: Heartbeat
     ended: bool
+    last_calls_until: timedelta = timedelta()
 
     @property
     def serving(self) -> bool:
-        """Whether the target takes new calls."""
+        """Whether the target has not announced its end."""
         return not self.ended and not self.heartbeat.draining
 
 
@@ -50,10 +61,14 @@
         self,
         service: str,
         address: Address,
+        drain: timedelta,
+        clock: Clock,
         on_change: Callable[[TargetState], None],
     ) -> None:
         self.service = service
+        self.drain = drain
         self._address = address
+        self._clock = clock
         self._on_change = on_change
         self._state: TargetState | None = None
         self._ended: dict[str, int] = {}
@@ -71,14 +86,16 @@
         return self._state
 
     def is_serving(self) -> bool:
-        """Return whether the target takes new calls."""
+        """Return whether the target is there and has not announced its end."""
         state = self._state
         return state is not None and state.serving
 
     def serving_incarnation(self) -> Incarnation | None:
         """Return the incarnation that calls may be sent to, if any."""
         state = self._state
-        if state is None or not state.serving:
+        if state is None:
+            return None
+        if not state.serving and self._clock.monotonic() >= state.last_calls_until:
             return None
         return state.heartbeat.incarnation
 
@@ -95,9 +112,11 @@
             if detail:
                 return HeartbeatVerdict(False, detail)
             before = self._state
-            self._state = TargetState(heartbeat, ended=False)
+            until = timedelta()
             if heartbeat.draining:
+                until = self._find_last_calls(heartbeat.incarnation)
                 self._remember_end(heartbeat.incarnation)
+            self._state = TargetState(heartbeat, False, until)
         if before is None or _differs(before, self._state):
             self._on_change(self._state)
         return HeartbeatVerdict(True)
@@ -111,9 +130,13 @@
                 # that are known by now under this id have ended.
                 self._ended.setdefault(instance, 0)
                 return False
+            # A target that has drained exits now; one that has not, a little later.
+            until = timedelta()
+            if state.serving:
+                until = self._find_last_calls(state.heartbeat.incarnation)
             self._remember_end(state.heartbeat.incarnation)
             changed = not state.ended
-            self._state = TargetState(state.heartbeat, ended=True)
+            self._state = TargetState(state.heartbeat, True, until)
         if changed:
             self._on_change(self._state)
         return True
@@ -129,6 +152,16 @@
         if ended:
             self._on_change(self._state)
 
+    def _find_last_calls(self, incarnation: Incarnation) -> timedelta:
+        """Return until when a target that announces its end is given calls."""
+        state = self._state
+        if state is None or state.heartbeat.incarnation != incarnation:
+            # It may have told an earlier run of the node, nobody knows when.
+            return timedelta()
+        if not state.serving:
+            return state.last_calls_until
+        return self._clock.monotonic() + self.drain * _DRAIN_SHARE
+
     def _find_fault(self, heartbeat: Heartbeat) -> str:
         incarnation = heartbeat.incarnation
         ended = self._ended.get(incarnation.instance)
--- a/src/cyclamenvane/platform/settings.py
+++ b/src/cyclamenvane/platform/settings.py
@@ -102,6 +102,8 @@
     fields.values.update({f"bounds.{name}": value for name, value in bounds.items()})
     return {
         "grace": fields.take("bounds.gracePeriodS", _seconds, timedelta()),
+        # Counted from the acknowledgement of the target's announcement.
+        "drain": fields.take("bounds.drainTimeoutS", _seconds, timedelta()),
         "budget_ratio": fields.take("bounds.retryBudgetRatio", float, 0.0),
         "budget_slack": fields.take("bounds.budgetSlack", float, 0.0),
         "budget_window": fields.take("bounds.retryWindowS", _seconds, timedelta()),
--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -92,6 +92,7 @@
             memory_bytes=300 * 1024 * 1024,
             descriptors=1000,
             grace=timedelta(seconds=4),
+            drain=timedelta(seconds=1),
             budget_ratio=0.2,
             budget_slack=49,
             budget_window=timedelta(seconds=10),
