Serve routes of unknown kinds, and keep a version with undecodable parts

Change: the kind is idempotent; other unknown kinds run at most once; a route that cannot be decoded is refused alone, since leaving it out would give its requests to a shorter prefix. Placement adds the mean response size to the bytes that a call in another zone transfers.

--- a/setup.py
+++ b/setup.py
@@ -37,6 +37,7 @@
     "mesh/placement",
     "mesh/rank",
     "mesh/report",
+    "mesh/response_size",
     "mesh/target_proxy",
     "mesh/upstream",
     "mesh/watch",
--- a/src/cyclamenvane/mesh/configuration.py
+++ b/src/cyclamenvane/mesh/configuration.py
@@ -7,12 +7,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import eliot
+
 from .model import CallerLimits, Route
 
 if TYPE_CHECKING:
+    from .metric import Metrics
     from .model import Configuration
 
-__all__ = ["CurrentConfiguration", "RouteTable"]
+__all__ = ["CurrentConfiguration", "RouteTable", "report_configuration"]
+
+_MAX_LOGGED_PROBLEMS = 20  # of one version
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,3 +77,17 @@
             for route in configuration.routes
         },
     )
+
+
+def report_configuration(configuration: Configuration, metrics: Metrics) -> None:
+    """Log a version that has come into force, and its problems."""
+    version, problems = configuration.version, configuration.problems
+    eliot.log_message(
+        "configuration:in_force",
+        version=version,
+        routes=len(configuration.routes),
+        problems=len(problems),
+    )
+    for problem in problems[:_MAX_LOGGED_PROBLEMS]:
+        eliot.log_message("configuration:problem", version=version, problem=problem)
+    metrics.set_gauge("configuration_problems", len(problems))
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -95,7 +95,12 @@
                 continue
             decoded = self._adapter.decode_configuration(change.row.value)
             if decoded.is_error():
-                eliot.log_message("configuration:invalid", error=decoded.error)
+                self._metrics.record_invalid_configuration()
+                eliot.log_message(
+                    "configuration:invalid",
+                    error=decoded.error,
+                    in_force=self._configuration.version(),
+                )
             else:
                 self._configuration.apply(decoded.ok)
 
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -20,6 +20,7 @@
 from .model import Route
 from .placement import select_peer, select_service
 from .rank import ActiveCall, Rank
+from .response_size import ResponseSizes
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -117,9 +118,13 @@
         self._on_newer_version = on_newer_version
         self._on_unreachable = on_unreachable
         self._local_peer = Peer(local_record(), clock)
+        self._response_sizes = ResponseSizes()
 
     def serve(self, call: Call, watch: Watch) -> CallResult:
         """Process a call and return its outcome; blocks until it is known."""
+        if not call.route.shares:
+            detail = "the route could not be decoded"
+            return _refuse(Reason.NO_TARGET, _MAX_RETRY_AFTER, detail, "", 0)
         service = select_service(call.route, random.random())
         if not call.rank.depth:
             refusal = self._refuse_if_overloaded(call, service)
@@ -153,6 +158,7 @@
             tried.add(peer.record.node)
             result = self._forward_call(call, service, peer, watch, now)
             if result.verdict is Verdict.ANSWERED:
+                self._response_sizes.update(call.route.name, len(result.body))
                 return CallResult(
                     result.status,
                     result.head,
@@ -177,7 +183,8 @@
         if record.service == service:
             self._local_peer.record = record
             peers = [self._local_peer, *peers]
-        return select_peer(peers, record.zone, tried, now, len(call.body))
+        body_bytes = len(call.body) + self._response_sizes.mean(call.route.name)
+        return select_peer(peers, record.zone, tried, now, body_bytes)
 
     def _forward_call(
         self, call: Call, service: str, peer: Peer, watch: Watch, now: timedelta
--- a/src/cyclamenvane/mesh/metric.py
+++ b/src/cyclamenvane/mesh/metric.py
@@ -58,6 +58,11 @@
             ["outcome"],
             registry=registry,
         )
+        self._invalid_configurations = Counter(
+            "cyclamenvane_invalid_configurations",
+            "Versions of the configuration that could not be put in force",
+            registry=registry,
+        )
         self._gauges = Gauge(
             "cyclamenvane_state",
             "The node's state: see the reference of metrics",
@@ -109,6 +114,10 @@
         """Count a call to the store by its outcome."""
         self._store_calls.labels("answered" if reached else "failed").inc()
 
+    def record_invalid_configuration(self) -> None:
+        """Count a version of the configuration that could not be decoded."""
+        self._invalid_configurations.inc()
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set the gauge with the given name label."""
         self._gauges.labels(name).set(value)
--- a/src/cyclamenvane/mesh/model.py
+++ b/src/cyclamenvane/mesh/model.py
@@ -43,7 +43,8 @@
     `idempotent` is whether a call may run more than once. `timeout` is the
     longest time that a caller waits, `target_latency` the time in
     which a response should arrive. `priority` 0 is the most important. `max_targets`
-    is the largest number of targets that one call may be sent to.
+    is the largest number of targets that one call may be sent to. Calls of a route
+    without `shares` are refused.
     """
 
     name: str
@@ -78,13 +79,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted version of the configuration, with its encoded form."""
+    """One accepted version of the configuration, with its encoded form.
+
+    `problems` says, for each part that could not be decoded, what is done without it.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServicePolicy]
     limits: CallerLimits
     encoded: bytes = field(default=b"", repr=False)
+    problems: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -16,7 +16,7 @@
 from .admin import AdminApplication, AdminServer
 from .budget import RetryBudget
 from .caller_server import CallerServer
-from .configuration import CurrentConfiguration
+from .configuration import CurrentConfiguration, report_configuration
 from .directory import PeerDirectory
 from .discovery import Discovery
 from .dispatch import Dispatcher
@@ -26,7 +26,7 @@
 from .log import CallLog
 from .memory import BodyMemory
 from .metric import Metrics
-from .model import Address, Configuration, MeshSettings, NodeRecord, Route
+from .model import Address, MeshSettings, NodeRecord, Route
 from .peer_pool import PeerPool
 from .peer_server import PeerServer
 from .peer_sync import PeerSync
@@ -69,7 +69,9 @@
         call_log = CallLog(clock)
         self.metrics = Metrics()
         self.executor: ThreadPoolExecutor = TaskPool(_MAX_THREADS)
-        self.configuration = CurrentConfiguration(self._log_configuration)
+        self.configuration = CurrentConfiguration(
+            lambda configuration: report_configuration(configuration, self.metrics)
+        )
         self._call_reporter = CallReporter(
             self.metrics,
             call_log,
@@ -309,13 +311,6 @@
             serving=state.serving,
         )
 
-    def _log_configuration(self, configuration: Configuration) -> None:
-        eliot.log_message(
-            "configuration:in_force",
-            version=configuration.version,
-            routes=len(configuration.routes),
-        )
-
     def _get_peer_address(self, sock: socket.socket) -> Address:
         return sock.getpeername()[0], self.settings.peer_listener[1]  # all use one port
 
--- a/src/cyclamenvane/mesh/placement.py
+++ b/src/cyclamenvane/mesh/placement.py
@@ -21,7 +21,8 @@
 # All loads below are shares of a target's limit on concurrent calls.
 _SPILL_THRESHOLD = 1.0  # load from which other zones are considered
 _ZONE_MARGIN = 0.4  # how much lower the load in another zone has to be
-_ZONE_MARGIN_PER_UNIT = 0.5  # added for each 100 KB of body to transfer
+_ZONE_MARGIN_PER_UNIT = 0.5  # added for each 100 KB of bodies to transfer
+_MAX_ZONE_MARGIN = 3.0  # a longer queue costs callers more than any transfer
 _BODY_UNIT_BYTES = 100_000
 _FAULT_LOAD = 0.25  # load added for each recent fault of a target
 _SAMPLE_SIZE = 3  # targets compared; with more, all nodes would select the same one
@@ -50,6 +51,7 @@
     """Return the target for a call, or None if no target is usable.
 
     `tried` holds the names of the nodes that the call was already sent to.
+    `body_bytes` is the size of the request body and of the expected response body.
     """
     untried = [peer for peer in peers if peer.record.node not in tried]
     usable = [peer for peer in untried if peer.is_usable(now)]
@@ -64,6 +66,7 @@
     if best is None or best_remote is None:
         return best or best_remote
     margin = _ZONE_MARGIN + _ZONE_MARGIN_PER_UNIT * body_bytes / _BODY_UNIT_BYTES
+    margin = min(margin, _MAX_ZONE_MARGIN)
     return best_remote if remote_load < load - margin else best
 
 
--- a/src/cyclamenvane/platform/documents.py
+++ b/src/cyclamenvane/platform/documents.py
@@ -1,13 +1,18 @@
 """Decoders for the platform's configuration and heartbeats, both JSON documents.
 
-Entries from other writers may lack fields or hold values of other types.
-Such an entry decodes to an error with a reason, never to a partial value.
+Entries from other writers may lack fields or hold values of other types. Such a
+heartbeat decodes to an error with a reason, never to a partial value.
+
+A configuration may have parts that this version does not know. A part that concerns
+one route affects that route only, see docs/design/configuration.md; the
+configuration is an error only if it cannot tell which requests it applies to.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 from expression import Error, Ok, Result
@@ -25,26 +30,36 @@
 
 __all__ = ["decode_configuration", "decode_heartbeat"]
 
-_IDEMPOTENT = {"idempotent": True, "non_idempotent": False, "upload": False}
+# Large responses may be repeated, large requests may not.
+_IDEMPOTENT = {
+    "idempotent": True,
+    "egress_download": True,
+    "non_idempotent": False,
+    "upload": False,
+}
 _DRAINING = {"healthy": False, "draining": True}
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
+_T = TypeVar("_T")
+
 
 def decode_configuration(data: bytes) -> Result[Configuration, str]:
-    """Return the configuration decoded from its row, or an error message."""
+    """Return the configuration decoded from its row, or an error message.
+
+    Parts that cannot be decoded are listed in its `problems`.
+    """
+    problems: list[str] = []
     try:
         document = orjson.loads(data)
-        services = [
-            _decode_service(each) for each in _get_typed(document, "services", list)
-        ]
-        routes = [_decode_route(each) for each in _get_typed(document, "routes", list)]
+        routes = _get_typed(document, "routes", list)
         return Ok(
             Configuration(
                 version=_decode_version(document["version"]),
-                routes=tuple(routes),
-                services={service.name: service for service in services},
-                limits=_decode_limits(document["limits"]),
+                routes=tuple(_decode_route(each, problems) for each in routes),
+                services=_decode_services(document.get("services"), problems),
+                limits=_decode_limits(document.get("limits"), problems),
                 encoded=data,
+                problems=tuple(problems),
             )
         )
     except _DECODE_ERRORS as error:
@@ -63,7 +78,7 @@
                 service=_get_typed(info, "service", str),
                 address=_decode_address(document["address"]),
                 zone=_get_typed(info, "zone", str),
-                slots=_decode_slots(info["capacity"]),
+                slots=_decode_count(info["capacity"]),
                 draining=_DRAINING[status["state"]],
                 sequence=_get_typed(status, "sequence", int),
                 warmup=_decode_seconds(status["warmupLeftS"]),
@@ -73,30 +88,82 @@
         return Error(f"cannot decode heartbeat: {error!r}")
 
 
-def _decode_route(document: dict[str, Any]) -> Route:
-    # "service" holds a single service, "weightedServices" several with weights.
-    if "service" in document:
-        shares = (RouteShare(_get_typed(document, "service", str), 1.0),)
-    else:
-        parts = document["weightedServices"]
-        shares = tuple(
-            RouteShare(_get_typed(each, "service", str), float(each["weight"]))
-            for each in parts
+def _decode_route(document: dict[str, Any], problems: list[str]) -> Route:
+    """Return a route; one that cannot be decoded refuses the requests it matches.
+
+    Without it, the route with the next shorter prefix would run them.
+    """
+    host = _get_typed(document, "host", str).lower()
+    prefix = _get_typed(document, "prefix", str)
+    try:
+        return _decode_matched_route(host, prefix, document, problems)
+    except _DECODE_ERRORS as error:
+        problems.append(f"route {host}{prefix}: requests are refused: {error!r}")
+        return Route(
+            name=f"{host}{prefix}",
+            host=host,
+            prefix=prefix,
+            idempotent=False,
+            timeout=timedelta(),
+            target_latency=timedelta(),
+            priority=0,
+            shares=(),
+            max_targets=0,
         )
-    if not shares:
-        raise ValueError("the route has no service")
-    return Route(
+
+
+def _decode_matched_route(
+    host: str, prefix: str, document: dict[str, Any], problems: list[str]
+) -> Route:
+    route = Route(
         name=_get_typed(document, "name", str),
-        host=_get_typed(document, "host", str).lower(),
-        prefix=_get_typed(document, "prefix", str),
-        idempotent=_IDEMPOTENT[document["routeType"]],
+        host=host,
+        prefix=prefix,
+        # Running at most once is allowed for every kind of route.
+        idempotent=_IDEMPOTENT.get(_get_typed(document, "routeType", str), False),
         timeout=_decode_seconds(document["timeoutS"]),
         target_latency=_decode_seconds(document["targetLatencyS"]),
         priority=_get_typed(document, "priority", int),
-        shares=shares,
+        shares=_decode_shares(document),
         # Counts targets, not sends: each target may be tried only once.
         max_targets=_get_typed(document, "maxAttempts", int),
     )
+    kind = document["routeType"]
+    if kind not in _IDEMPOTENT:
+        problems.append(
+            f"route {host}{prefix}: unknown kind {kind!r} runs at most once"
+        )
+    return route
+
+
+def _decode_shares(document: dict[str, Any]) -> tuple[RouteShare, ...]:
+    # "service" holds a single service, "weightedServices" several with weights.
+    if "service" in document:
+        return (RouteShare(_get_typed(document, "service", str), 1.0),)
+    shares = tuple(
+        RouteShare(_get_typed(each, "service", str), _decode_weight(each["weight"]))
+        for each in _get_typed(document, "weightedServices", list)
+    )
+    if not shares:
+        raise ValueError("the route has no service")
+    return shares
+
+
+def _decode_weight(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+        raise ValueError(f"invalid weight: {value!r}")
+    return float(value)
+
+
+def _decode_services(documents: Any, problems: list[str]) -> dict[str, ServicePolicy]:
+    if not isinstance(documents, list):
+        problems.append(f"services are ignored: not a list: {documents!r:.80}")
+        return {}
+    services = (
+        _decode_or_default(_decode_service, each, None, "a service", problems)
+        for each in documents
+    )
+    return {service.name: service for service in services if service is not None}
 
 
 def _decode_service(document: dict[str, Any]) -> ServicePolicy:
@@ -107,15 +174,40 @@
     )
 
 
-def _decode_limits(document: dict[str, Any]) -> CallerLimits:
+def _decode_limits(document: Any, problems: list[str]) -> CallerLimits:
+    default = CallerLimits()
+    if not isinstance(document, dict):
+        problems.append("limits get their defaults: not an object")
+        return default
+
+    def decode(name: str, decode_value: Callable[[Any], _T], default: _T) -> _T:
+        value = document.get(name)
+        return _decode_or_default(decode_value, value, default, name, problems)
+
     return CallerLimits(
-        header_bytes=_get_typed(document, "maxHeaderBytes", int),
-        body_bytes=_get_typed(document, "maxBodyBytes", int),
-        header_timeout=_decode_seconds(document["headerTimeoutS"]),
-        idle_timeout=_decode_seconds(document["idleTimeoutS"]),
+        header_bytes=decode("maxHeaderBytes", _decode_count, default.header_bytes),
+        body_bytes=decode("maxBodyBytes", _decode_count, default.body_bytes),
+        header_timeout=decode(
+            "headerTimeoutS", _decode_seconds, default.header_timeout
+        ),
+        idle_timeout=decode("idleTimeoutS", _decode_seconds, default.idle_timeout),
     )
 
 
+def _decode_or_default(
+    decode: Callable[[Any], _T],
+    value: Any,
+    default: _T,
+    name: str,
+    problems: list[str],
+) -> _T:
+    try:
+        return decode(value)
+    except _DECODE_ERRORS as error:
+        problems.append(f"{name} gets its default {default!r}: {error!r}")
+        return default
+
+
 def _get_typed(document: dict[str, Any], name: str, kind: type) -> Any:
     value = document[name]
     # bool is a subclass of int, but a JSON boolean is not a number.
@@ -130,15 +222,17 @@
     return int(text[1:])
 
 
-def _decode_slots(value: Any) -> int:
+def _decode_count(value: Any) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 1:
-        raise ValueError(f"invalid capacity: {value!r}")
+        raise ValueError(f"expected a positive whole number, got {value!r}")
     return value
 
 
 def _decode_seconds(value: Any) -> timedelta:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise TypeError(f"expected a number of seconds, got {value!r}")
+    if value < 0:
+        raise ValueError(f"expected no negative number of seconds, got {value!r}")
     return timedelta(seconds=value)
 
 
