Follow the store with two nodes of each zone

Change: nodes of a zone rank each other by hash; the first two follow the store, the others follow them over a stream, by versions of the store's one counter. A start reads its own zone's part; a record that has not changed is not written again; calls are counted by kind.

Tests of mesh, platform and settings pass.

--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -1,31 +1,39 @@
-"""Applies the configuration and the records of nodes from the store."""
+"""Applies the configuration and the records of nodes from the store.
+
+The rows come through the `StoreReplica`. Only to find the other nodes of its zone, a
+node that has just started reads the part of its zone itself.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import eliot
 
 from .publication import NODES_TABLE, RecordPublisher, decode_record
-from .rows import RowChange, StoredRow
-from .subscription import Subscription
+from .replica import StoreReplica, TableCallbacks
+from .rows import RowChange, RowStore, StoredRow
+from .subscription import Backoff, Subscription
 
 if TYPE_CHECKING:
+    from ..clock import Clock
     from .adapter import MeshAdapter
     from .configuration import CurrentConfiguration
     from .directory import PeerDirectory
     from .metric import Metrics
-    from .model import MeshSettings
+    from .model import MeshSettings, NodeRecord
     from .peer_sync import PeerSync
     from .registration import Registration
     from .stop_event import Sleep
+    from .store_watch import StoreWatch
 
 __all__ = ["Discovery"]
 
-_BATCH_DELAY = timedelta(milliseconds=60)  # changes close together are read in one call
-_READ_SHARE = 0.33  # of the store's read rate, for the records of nodes
+# On the first start of a whole fleet, the nodes' records appear within this time.
+_FIRST_START_WAIT = timedelta(seconds=2)
 
 
 class Discovery:
@@ -40,7 +48,10 @@
         registration: Registration,
         peer_sync: PeerSync,
         publisher: RecordPublisher,
+        open_store: Callable[[], RowStore],
+        store_watch: StoreWatch,
         metrics: Metrics,
+        clock: Clock,
         sleep: Sleep,
     ) -> None:
         self._get_settings = get_settings
@@ -50,43 +61,85 @@
         self._registration = registration
         self._peer_sync = peer_sync
         self._publisher = publisher
+        self._open_store = open_store
+        self._store_watch = store_watch
         self._metrics = metrics
+        self._clock = clock
         self._sleep = sleep
         self._store_reached: dict[str, bool] = {}
+        self.replica = StoreReplica(
+            {
+                adapter.configuration_table: TableCallbacks(
+                    lambda changes: self.apply_configurations(changes),
+                    lambda change: self.apply_configurations([change]),
+                ),
+                NODES_TABLE: TableCallbacks(
+                    self.apply_node_snapshot, self._apply_node_change
+                ),
+            }
+        )
 
-    def make_configuration_subscription(self) -> Subscription:
-        """Return the task that applies changes of the configuration."""
-        adapter = self._adapter
-        return Subscription(
-            adapter.open_store(self._get_settings().store),
-            adapter.configuration_table,
-            lambda: [""],
-            lambda changes: self.apply_configurations(changes),
-            lambda change: self.apply_configurations([change]),
-            self._on_store_result,
-            lambda: _BATCH_DELAY,
-            self._sleep,
+    def make_subscriptions(self) -> tuple[Subscription, ...]:
+        """Return the tasks that follow the store while this node is a watcher."""
+        return (
+            self._make_subscription(self._adapter.configuration_table, lambda: [""]),
+            self._make_subscription(NODES_TABLE, lambda: self._get_settings().zones),
         )
 
-    def make_node_subscription(self) -> Subscription:
-        """Return the task that applies changes of the records of nodes."""
+    def _make_subscription(
+        self, table: str, parts: Callable[[], Sequence[str]]
+    ) -> Subscription:
         return Subscription(
-            self._adapter.open_store(self._get_settings().store),
-            NODES_TABLE,
-            lambda: self._get_settings().zones,
-            self.apply_node_snapshot,
-            self._apply_node_change,
+            self._open_store(),
+            table,
+            parts,
+            self.replica,
+            self._store_watch,
             self._on_store_result,
-            self._compute_node_batch_delay,
+            self._clock,
             self._sleep,
         )
 
-    def _compute_node_batch_delay(self) -> timedelta:
-        # Each change of a node's record wakes all nodes, so the more nodes there
-        # are, the more changes each read has to cover.
-        nodes = len(self._directory.peers()) + 1
-        rate = self._get_settings().store_reads_per_s * _READ_SHARE
-        return max(_BATCH_DELAY, timedelta(seconds=nodes / max(rate, 1.0)))
+    def join_zone(self) -> None:
+        """Read the records of the zone's nodes, before this node follows one of them.
+
+        Returns once another node is known, or none is to be expected.
+        """
+        store, backoff = self._open_store(), Backoff()
+        waited = not self._get_settings().first_start
+        while not self._sleep.is_stopped():
+            page = store.read(NODES_TABLE, self._get_settings().zone)
+            self._on_store_result(page.is_ok(), NODES_TABLE)
+            if page.is_ok():
+                self._apply_zone(page.ok.changes)
+            if self.list_zone() or (page.is_ok() and waited):
+                break
+            if page.is_ok():
+                self._sleep(_FIRST_START_WAIT * random.uniform(0.75, 1.25))
+                waited = True
+            else:
+                self._sleep(backoff.next_delay())
+        store.close()
+
+    def list_zone(self) -> list[NodeRecord]:
+        """Return the records of the zone's other nodes that seem reachable."""
+        zone = self._get_settings().zone
+        return [
+            peer.record
+            for peer in self._directory.peers()
+            if peer.record.zone == zone
+            and not peer.record.leaving
+            and not peer.is_unreachable()
+        ]
+
+    def _apply_zone(self, changes: Sequence[RowChange]) -> None:
+        version = 0
+        for change in changes:
+            self._apply_node_change(change)
+            if change.key == self._get_settings().node and change.row is not None:
+                version = change.row.version
+                self._restore_deregistration(change.row)
+        self._publisher.offer_row_version(version)
 
     def apply_configurations(self, changes: list[RowChange]) -> None:
         """Apply the configuration if its row is among the changes."""
@@ -126,7 +179,7 @@
     def _request_publication(self) -> None:
         # Before the first heartbeat of the target there is nothing to publish.
         if self._registration.state() is not None:
-            self._publisher.request_write()
+            self._publisher.request_rewrite()
 
     def _apply_node_change(self, change: RowChange) -> None:
         if change.row is None:
@@ -142,8 +195,8 @@
             self._peer_sync.apply_record(record)
 
     def _on_store_result(self, reached: bool, detail: str) -> None:
-        self._metrics.record_store_call(reached)
         table = detail.partition(":")[0]
+        self._store_watch.record_result(table, reached)
         if self._store_reached.get(table) != reached:
             self._store_reached[table] = reached
             name = "store:reached" if reached else "store:lost"
--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -35,6 +35,8 @@
     RESULT = 2
     HELLO = 3
     SNAPSHOT = 4
+    FOLLOW = 5
+    UPDATES = 6
 
 
 class Verdict(IntEnum):
--- a/src/cyclamenvane/mesh/metric.py
+++ b/src/cyclamenvane/mesh/metric.py
@@ -54,8 +54,8 @@
         )
         self._store_calls = Counter(
             "cyclamenvane_store_contacts",
-            "Calls to the platform's store, by outcome",
-            ["outcome"],
+            "Calls to the platform's store, by kind and outcome",
+            ["kind", "outcome"],
             registry=registry,
         )
         self._invalid_configurations = Counter(
@@ -110,9 +110,9 @@
         """Count a request that was refused before it was read completely."""
         self._rejected_requests.labels(int(status)).inc()
 
-    def record_store_call(self, reached: bool) -> None:
-        """Count a call to the store by its outcome."""
-        self._store_calls.labels("answered" if reached else "failed").inc()
+    def record_store_call(self, kind: str, reached: bool) -> None:
+        """Count a call to the store by its kind and outcome."""
+        self._store_calls.labels(kind, "answered" if reached else "failed").inc()
 
     def record_invalid_configuration(self) -> None:
         """Count a version of the configuration that could not be decoded."""
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -18,7 +18,6 @@
 from .caller_server import CallerServer
 from .configuration import CurrentConfiguration, report_configuration
 from .directory import PeerDirectory
-from .discovery import Discovery
 from .dispatch import Dispatcher
 from .gate import Gate
 from .idle_poller import IdlePoller
@@ -30,11 +29,11 @@
 from .peer_pool import PeerPool
 from .peer_server import PeerServer
 from .peer_sync import PeerSync
-from .publication import RecordPublisher
 from .rank import ActiveCall, ActiveCalls, Rank, rank_root
 from .registration import Registration, TargetState
 from .report import CallReporter
 from .stop_event import StopEvent
+from .store_client import StoreClient
 from .target_proxy import TargetProxy
 from .upstream import Upstream
 
@@ -120,18 +119,16 @@
         )
         self.dispatcher = self._make_dispatcher()
         self.caller_server = self._make_caller_server()
-        self._publisher = RecordPublisher(
-            adapter.open_store(settings.store), self.record, self._stop_event
-        )
-        self.discovery = Discovery(
+        self.store_client = StoreClient(
             lambda: self.settings,
             adapter,
+            self.record,
             self.configuration,
             self.directory,
             self.registration,
             self.peer_sync,
-            self._publisher,
             self.metrics,
+            clock,
             self._stop_event,
         )
         self._idle_poller = IdlePoller(clock, self._stop_event)
@@ -185,9 +182,8 @@
         for acceptor in self._acceptors:
             acceptor.start()
         self.executor.submit(self._idle_poller.run)
-        self.executor.submit(self.discovery.make_configuration_subscription().run)
-        self.executor.submit(self.discovery.make_node_subscription().run)
-        self.executor.submit(self._publisher.run)
+        for task in self.store_client.tasks():
+            self.executor.submit(task)
         self.executor.submit(self.peer_sync.run)
 
     def stop(self) -> bool:
@@ -203,6 +199,7 @@
         delay = min(_READINESS_PROPAGATION_TIME, self.settings.grace_period / 2)
         self._stop_event(max(delay - _LEAVING_PROPAGATION_TIME, timedelta()))
         self.target_proxy.leaving = True
+        self.store_client.relay.close()
         self._stop_event(_LEAVING_PROPAGATION_TIME)
         self.target_proxy.closed = True
         while self._clock.monotonic() < deadline:
@@ -233,7 +230,7 @@
         """Stop all tasks at once, for a process that continues without the node."""
         self._stopping = True
         self._stop_event.stop()
-        self._publisher.request_write()
+        self.store_client.wake()
         if self._admin is not None:
             self._admin.close()
         for acceptor in self._acceptors:
@@ -276,6 +273,7 @@
             self.target_proxy,
             self._clock,
             self.peer_sync,
+            self.store_client.relay,
             self._get_peer_address,
             self.configuration.version,
         )
@@ -301,7 +299,7 @@
         self.gate.resize(heartbeat.slots)
         if not state.serving:
             self._upstream.close_idle()
-        self._publisher.request_write()
+        self.store_client.publisher.request_write()
         eliot.log_message(
             "target:changed",
             instance=heartbeat.incarnation.instance,
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -1,4 +1,7 @@
-"""Server for frames from other nodes: forwarded calls, hellos, snapshot requests."""
+"""Server for frames from other nodes.
+
+They are forwarded calls, hellos, and requests for snapshots and for updates.
+"""
 
 from __future__ import annotations
 
@@ -18,6 +21,7 @@
     from ..clock import Clock
     from .model import Address
     from .peer_sync import PeerSync
+    from .relay import Relay
     from .target_proxy import TargetProxy
 
 __all__ = ["PeerServer", "PeerSession"]
@@ -38,12 +42,14 @@
         target_proxy: TargetProxy,
         clock: Clock,
         peer_sync: PeerSync,
+        relay: Relay,
         find_address: Callable[[socket.socket], Address],
         get_version: Callable[[], int],
     ) -> None:
         self._target_proxy = target_proxy
         self._clock = clock
         self._peer_sync = peer_sync
+        self._relay = relay
         self._find_address = find_address
         self._get_version = get_version
         self.in_flight = InFlightCounter()
@@ -66,6 +72,8 @@
                 address = self._find_address(sock)
                 self._peer_sync.add_newer_version(request.version, address)
             return self._target_proxy.execute(request, watch).pack()
+        if kind == FrameKind.FOLLOW:
+            return self._relay.answer(frame)
         if kind == FrameKind.SNAPSHOT:
             return self._peer_sync.make_snapshot()
         if kind == FrameKind.HELLO:
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -37,9 +37,20 @@
         self._sleep = sleep
         self._write_requested = threading.Event()
         self._row_version: int | None = None
+        self._written: NodeRecord | None = None
+
+    def offer_row_version(self, version: int) -> None:
+        """Use the version of this node's row that was read, 0 for a missing row."""
+        if self._row_version is None:
+            self._row_version = version
+
+    def request_rewrite(self) -> None:
+        """Request a write of the record although it has not changed."""
+        self._row_version = self._written = None
+        self._write_requested.set()
 
     def request_write(self) -> None:
-        """Request a write of the record."""
+        """Request a write of the record, unless it is stored already."""
         self._write_requested.set()
 
     def run(self) -> None:
@@ -54,6 +65,8 @@
 
     def _write(self) -> bool:
         record = self._make_record()
+        if record == self._written:
+            return True
         if self._row_version is None and not self._read_row_version(record):
             return False
         write = RowWrite(
@@ -65,10 +78,10 @@
         )
         result = self._store.write([write])
         if result.is_ok():
-            self._row_version = result.ok
+            self._row_version, self._written = result.ok, record
             return True
         # The row may have been written, so its version has to be read again.
-        self._row_version = None
+        self._row_version = self._written = None
         if result.error.failure is not RowsFailure.CONFLICT:
             eliot.log_message("node:record_not_written", error=result.error.detail)
         return False
--- /dev/null
+++ b/src/cyclamenvane/mesh/relay.py
@@ -0,0 +1,215 @@
+"""Relaying of the store between the nodes of a zone.
+
+A follower asks a watcher for the changes since the versions it has; the watcher
+answers as soon as there are some, or after a wait. Each request names the versions,
+so a follower can go on with another watcher, or with the store itself, at any time.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from .connection import open_connection
+from .errors import FrameError
+from .forward import FrameKind
+from .frames import FrameStream
+from .replica import TableUpdate
+from .rows import RowChange, StoredRow
+from .store_watch import WatchState
+from .watch import Signal, WaitResult, Watch
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from .model import Address, NodeRecord
+    from .replica import StoreReplica
+    from .stop_event import Sleep
+    from .store_watch import StoreWatch
+    from .watchers import WatcherSelection
+
+__all__ = ["Follower", "Relay"]
+
+_WAIT = timedelta(milliseconds=1200)  # a silent watcher is replaced after this
+_ANSWER_MARGIN = timedelta(milliseconds=400)
+_CONNECT_TIMEOUT = timedelta(milliseconds=300)
+_MAX_WAIT = timedelta(seconds=5)  # that a follower may ask for
+_ROLE_INTERVAL = timedelta(milliseconds=500)  # between checks of a watcher's own role
+_RETRY_DELAY = timedelta(milliseconds=200)  # after a watcher did not answer
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    reaches_store: bool
+    updates: tuple[TableUpdate, ...]
+
+
+class Relay:
+    """Answers the followers of this node, which makes it a watcher."""
+
+    def __init__(
+        self,
+        replica: StoreReplica,
+        store_watch: StoreWatch,
+        selection: WatcherSelection,
+    ) -> None:
+        self._replica = replica
+        self._store_watch = store_watch
+        self._selection = selection
+        self._closed = False
+
+    def close(self) -> None:
+        """Send the followers to other watchers."""
+        self._closed = True
+        self._replica.wake()
+
+    def answer(self, frame: list[Any]) -> list[Any]:
+        """Return the updates that a follower asked for; blocks until there are some.
+
+        Raise FrameError if the frame is invalid.
+        """
+        try:
+            versions, wait = _unpack_request(frame)
+        except (ValueError, TypeError) as error:
+            raise FrameError(f"invalid follow frame: {error}") from error
+        updates: list[TableUpdate] = []
+        if not self._closed:
+            self._selection.record_request()
+            self._store_watch.start()
+            updates = self._replica.wait_for_updates(versions, wait)
+        lost = self._closed or self._store_watch.state() is WatchState.LOST
+        return [FrameKind.UPDATES, not lost, [_pack_update(each) for each in updates]]
+
+
+class Follower:
+    """Keeps the replica current: follows a watcher, or makes this node one."""
+
+    def __init__(
+        self,
+        local_node: str,
+        replica: StoreReplica,
+        store_watch: StoreWatch,
+        selection: WatcherSelection,
+        clock: Clock,
+        sleep: Sleep,
+        connect: Callable[[Address], FrameStream] | None = None,
+    ) -> None:
+        self._local_node = local_node
+        self._replica = replica
+        self._store_watch = store_watch
+        self._selection = selection
+        self._clock = clock
+        self._sleep = sleep
+        self._connect = connect or _open_stream
+        self._stream: FrameStream | None = None
+        self._followed = ""
+
+    def run(self) -> None:
+        """Follow watchers until the node stops."""
+        unset_signal = Signal()
+        # No caller waits for the answers, so no wait is cancelled.
+        watch = Watch(self._clock, unset_signal.descriptor, lambda: True)
+        while not self._sleep.is_stopped():
+            self._step(watch)
+        self._close()
+
+    def _step(self, watch: Watch) -> None:
+        has_rows = None not in self._replica.versions().values()
+        watcher = self._selection.select(has_rows)
+        self._log_change(watcher.node if watcher else self._local_node)
+        if watcher is None:
+            self._close()
+            self._store_watch.start()
+            if self._store_watch.state() is WatchState.LOST:
+                self._selection.record_store_lost(self._local_node)
+            self._sleep(_ROLE_INTERVAL)
+            return
+        self._store_watch.stop()
+        answer = self._ask(watcher, watch)
+        if answer is None:
+            self._close()
+            self._selection.record_silence(watcher.node)
+            self._sleep(_RETRY_DELAY * random.uniform(0.5, 1.5))
+            return
+        for update in answer.updates:
+            self._replica.apply(update)
+        if answer.reaches_store:
+            self._selection.record_answer(watcher.node)
+        else:
+            self._selection.record_store_lost(watcher.node)
+
+    def _log_change(self, followed: str) -> None:
+        if followed != self._followed:
+            self._close()
+            self._followed = followed
+            eliot.log_message(
+                "store:follow", node=followed, watcher=followed == self._local_node
+            )
+
+    def _ask(self, watcher: NodeRecord, watch: Watch) -> _Answer | None:
+        until = self._clock.monotonic() + _WAIT + _ANSWER_MARGIN
+        try:
+            if self._stream is None:
+                self._stream = self._connect(watcher.address)
+            frame = _pack_request(self._replica.versions(), _WAIT)
+            if self._stream.send(frame, watch, until) is not WaitResult.READY:
+                return None
+            wait_result, response = self._stream.receive(watch, until)
+            if wait_result is not WaitResult.READY:
+                return None
+            return _unpack_answer(response)
+        except (OSError, ValueError, TypeError) as error:
+            eliot.log_message("store:relay_failed", node=watcher.node, error=str(error))
+            return None
+
+    def _close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+
+def _open_stream(address: Address) -> FrameStream:
+    return FrameStream(open_connection(address, _CONNECT_TIMEOUT))
+
+
+def _pack_request(versions: dict[str, int | None], wait: timedelta) -> list[Any]:
+    return [FrameKind.FOLLOW, list(versions.items()), wait // _MILLISECOND]
+
+
+def _unpack_request(frame: list[Any]) -> tuple[dict[str, int | None], timedelta]:
+    _, versions, wait = frame
+    if any(version is not None and version < 0 for _, version in versions):
+        raise ValueError("negative version")
+    return dict(versions), min(max(wait, 0) * _MILLISECOND, _MAX_WAIT)
+
+
+def _pack_update(update: TableUpdate) -> list[Any]:
+    changes = [
+        [each.part, each.key, each.version, each.row.value if each.row else None]
+        for each in update.changes
+    ]
+    return [update.table, update.complete, update.version, changes]
+
+
+def _unpack_answer(frame: list[Any]) -> _Answer:
+    kind, reaches_store, updates = frame
+    if kind != FrameKind.UPDATES:
+        raise ValueError(f"expected updates, got a frame of kind {kind!r}")
+    return _Answer(bool(reaches_store), tuple(_unpack_update(each) for each in updates))
+
+
+def _unpack_update(fields: list[Any]) -> TableUpdate:
+    table, complete, version, changes = fields
+    return TableUpdate(
+        table, complete, tuple(_unpack_change(*each) for each in changes), int(version)
+    )
+
+
+def _unpack_change(part: str, key: str, version: int, value: bytes | None) -> RowChange:
+    row = StoredRow(part, key, value, version) if value is not None else None
+    return RowChange(part, key, row, int(version))
--- a/src/cyclamenvane/mesh/rows.py
+++ b/src/cyclamenvane/mesh/rows.py
@@ -55,11 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RowChange:
-    """The current state of one row; `row` is None if it was deleted."""
+    """The current state of one row; `row` is None if it was deleted.
+
+    `version` is that of the change, 0 if it is not known.
+    """
 
     part: str
     key: str
     row: StoredRow | None
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/cyclamenvane/mesh/store_client.py
@@ -0,0 +1,90 @@
+"""A node's use of the store: its own record, and what it follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from .counted_store import CountedStore
+from .discovery import Discovery
+from .publication import NODES_TABLE, RecordPublisher
+from .relay import Follower, Relay
+from .store_watch import StoreWatch
+from .watchers import WatcherSelection
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from .adapter import MeshAdapter
+    from .configuration import CurrentConfiguration
+    from .directory import PeerDirectory
+    from .metric import Metrics
+    from .model import MeshSettings, NodeRecord
+    from .peer_sync import PeerSync
+    from .registration import Registration
+    from .stop_event import Sleep
+
+__all__ = ["StoreClient"]
+
+
+class StoreClient:
+    """Publishes the node's record, and follows the store or a node that relays it."""
+
+    def __init__(
+        self,
+        get_settings: Callable[[], MeshSettings],
+        adapter: MeshAdapter,
+        make_record: Callable[[], NodeRecord],
+        configuration: CurrentConfiguration,
+        directory: PeerDirectory,
+        registration: Registration,
+        peer_sync: PeerSync,
+        metrics: Metrics,
+        clock: Clock,
+        sleep: Sleep,
+    ) -> None:
+        def open_store() -> CountedStore:
+            return CountedStore(adapter.open_store(get_settings().store), metrics)
+
+        node = get_settings().node
+        tables = (adapter.configuration_table, NODES_TABLE)
+        self.store_watch = StoreWatch(tables, clock)
+        self.publisher = RecordPublisher(open_store(), make_record, sleep)
+        self.discovery = Discovery(
+            get_settings,
+            adapter,
+            configuration,
+            directory,
+            registration,
+            peer_sync,
+            self.publisher,
+            open_store,
+            self.store_watch,
+            metrics,
+            clock,
+            sleep,
+        )
+        replica = self.discovery.replica
+        selection = WatcherSelection(node, self.discovery.list_zone, clock)
+        self.relay = Relay(replica, self.store_watch, selection)
+        self._follower = Follower(
+            node, replica, self.store_watch, selection, clock, sleep
+        )
+
+    def tasks(self) -> list[Callable[[], None]]:
+        """Return the functions to run, each in a task of its own."""
+        subscriptions = self.discovery.make_subscriptions()
+        return [
+            *(subscription.run for subscription in subscriptions),
+            self._follow,
+            self.publisher.run,
+        ]
+
+    def wake(self) -> None:
+        """Wake the tasks, so that they notice that the node has stopped."""
+        self.publisher.request_write()
+        self.store_watch.start()
+        self.relay.close()
+
+    def _follow(self) -> None:
+        self.discovery.join_zone()
+        self._follower.run()
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -1,8 +1,8 @@
-"""Follows the changes of a table of the store until the node stops.
+"""Follows the changes of a table of the store while this node is a watcher.
 
-A subscription reads the parts it needs once, then watches for changes. It reads
-the parts again when the store no longer has the history, and retries with
-increasing delays when the store does not answer.
+A subscription reads the parts of the table unless the replica has them already, then
+watches for changes. It reads the parts again when the store no longer has the
+history, and retries with increasing delays when the store does not answer.
 """
 
 from __future__ import annotations
@@ -15,16 +15,24 @@
 
 import eliot
 
+from .replica import TableUpdate
 from .rows import RowChange, RowsError, RowsFailure, RowStore
 
 if TYPE_CHECKING:
+    from ..clock import Clock
+    from .replica import StoreReplica
     from .stop_event import Sleep
+    from .store_watch import StoreWatch
 
 __all__ = ["Subscription", "Backoff"]
 
 # Long enough to need few calls, short enough to detect a dead connection that
 # keep-alive probes do not reveal.
 _WATCH_TIMEOUT = timedelta(seconds=8)
+# Delay after a read that returned changes, so that the next one covers more of them.
+# The first change after a quiet time is read at once.
+_MIN_BATCH_DELAY = timedelta(milliseconds=60)
+_MAX_BATCH_DELAY = timedelta(milliseconds=480)
 
 
 @dataclass(slots=True)
@@ -47,12 +55,10 @@
 
 
 class Subscription:
-    """Passes the rows of one table and their changes to callbacks.
+    """Applies the rows of one table and their changes to the replica.
 
-    `on_snapshot` gets all rows of all parts, `on_change` each later change.
     `on_result` gets whether the store answered, and the table, followed by the error
-    after a failure. After a change, `batch_delay` returns how long to wait for more
-    before the next read.
+    after a failure.
     """
 
     def __init__(
@@ -60,61 +66,70 @@
         store: RowStore,
         table: str,
         parts: Callable[[], Sequence[str]],
-        on_snapshot: Callable[[list[RowChange]], None],
-        on_change: Callable[[RowChange], None],
+        replica: StoreReplica,
+        store_watch: StoreWatch,
         on_result: Callable[[bool, str], None],
-        batch_delay: Callable[[], timedelta],
+        clock: Clock,
         sleep: Sleep,
     ) -> None:
         self._store = store
         self._table = table
         self._parts = parts
-        self._on_snapshot = on_snapshot
-        self._on_change = on_change
+        self._replica = replica
+        self._store_watch = store_watch
         self._on_result = on_result
-        self._batch_delay = batch_delay
+        self._clock = clock
         self._sleep = sleep
         self._backoff = Backoff()
+        self._batch_delay = _MIN_BATCH_DELAY
+        self._history_gone = False
 
     def run(self) -> None:
-        """Follow the table until the node stops."""
+        """Follow the table whenever the node is a watcher, until it stops."""
         while not self._sleep.is_stopped():
-            version = self._read_all()
-            while version is not None and not self._sleep.is_stopped():
-                version = self._watch_changes(version)
+            self._store_watch.wait()
+            version = self._replica.versions()[self._table]
+            if version is None or self._history_gone:
+                self._read_all()
+            else:
+                self._watch_changes(version)
         self._store.close()
 
-    def _read_all(self) -> int | None:
+    def _read_all(self) -> None:
         rows: list[RowChange] = []
         version: int | None = None
         for part in self._parts():
             page = self._store.read(self._table, part)
             if page.is_error():
                 self._handle_failure(page.error)
-                return None
+                return
             rows += page.ok.changes
             # With the first part's version, changes may repeat but none is missed.
             version = page.ok.version if version is None else version
-        self._handle_success()
-        self._on_snapshot(rows)
-        return version
+        self._history_gone = False
+        self._apply(True, tuple(rows), version or 0)
 
-    def _watch_changes(self, version: int) -> int | None:
+    def _watch_changes(self, version: int) -> None:
+        started_at = self._clock.monotonic()
         page = self._store.watch(self._table, version, _WATCH_TIMEOUT)
         if page.is_error():
             if page.error.failure is RowsFailure.HISTORY_GONE:
                 eliot.log_message("store:history_gone", table=self._table)
-                return None
-            self._handle_failure(page.error)
-            return version
-        self._handle_success()
-        for change in page.ok.changes:
-            self._on_change(change)
+                self._history_gone = True
+            else:
+                self._handle_failure(page.error)
+            return
+        self._apply(False, page.ok.changes, page.ok.version)
+        if self._clock.monotonic() - started_at > _MAX_BATCH_DELAY:
+            self._batch_delay = _MIN_BATCH_DELAY
         if page.ok.changes:
-            self._sleep(self._batch_delay())
-        return max(version, page.ok.version)
+            self._sleep(self._batch_delay)
+            self._batch_delay = min(self._batch_delay * 2, _MAX_BATCH_DELAY)
 
-    def _handle_success(self) -> None:
+    def _apply(
+        self, complete: bool, changes: tuple[RowChange, ...], version: int
+    ) -> None:
+        self._replica.apply(TableUpdate(self._table, complete, changes, version))
         self._backoff.reset()
         self._on_result(True, self._table)
 
--- a/src/cyclamenvane/platform/settings.py
+++ b/src/cyclamenvane/platform/settings.py
@@ -85,10 +85,10 @@
         peer_listener=(fields.read("ip", str, ""), peer_port),
         target=fields.read("upstreamAddress", _parse_address, unset),
         store=fields.read("platform.address", _parse_address, unset),
-        store_reads_per_s=fields.read("platform.readsPerS", float, 0.0),
         memory_bytes=fields.read("limits.memoryLimitMb", _parse_megabytes, 0),
         max_open_files=fields.read("limits.maxOpenFiles", int, 0),
         **_read_bounds(fields),
+        first_start=fields.values.get("bootstrap") == "true",
     )
     if fields.problems:
         return Error(tuple(fields.problems))
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -63,7 +63,7 @@
             if not result.ok.get("hasMore") or not page.ok.changes:
                 break
             start = page.ok.changes[-1].key + "\0"
-        changes = tuple(RowChange(row.part, row.key, row) for row in rows)
+        changes = tuple(RowChange(row.part, row.key, row, row.version) for row in rows)
         return Ok(RowsPage(changes, version))
 
     def watch(
@@ -148,6 +148,6 @@
 def _decode_row(document: dict[str, Any]) -> RowChange:
     part, key = document.get("part", ""), document["key"]
     if document.get("deleted"):
-        return RowChange(part, key, None)
-    value = base64.b64decode(document["value"])
-    return RowChange(part, key, StoredRow(part, key, value, document["rowVersion"]))
+        return RowChange(part, key, None, int(document.get("rowVersion", 0)))
+    value, version = base64.b64decode(document["value"]), int(document["rowVersion"])
+    return RowChange(part, key, StoredRow(part, key, value, version), version)
--- /dev/null
+++ b/tests/mesh/test_relay.py
@@ -0,0 +1,99 @@
+"""Nodes of one zone that follow each other instead of the store, over real streams."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from mesh_harness import route, wait_until
+
+from cyclamenvane.mesh.store_watch import WatchState
+
+FEED, READ, WRITE = "/api/rows-feed", "/api/rows-get", "/api/rows-tx"
+
+
+def count_watchers(mesh):
+    states = [member.node.store_client.store_watch.state() for member in mesh.members]
+    return sum(state is WatchState.CURRENT for state in states)
+
+
+def watchers(mesh):
+    return [
+        member
+        for member in mesh.members
+        if member.node.store_client.store_watch.state() is WatchState.CURRENT
+    ]
+
+
+@pytest.fixture
+def zone(mesh):
+    """Five nodes of one zone, after two of them have become its watchers."""
+    for _ in range(5):
+        mesh.add("stock", "a")
+    mesh.configure(route())
+    mesh.wait_until_converged()
+    wait_until(lambda: count_watchers(mesh) == 2, 15)
+    return mesh
+
+
+def test_two_nodes_of_a_zone_follow_the_store_for_all(zone):
+    zone.store.calls.clear()
+    zone.configure(route())
+    started_at = time.monotonic()
+    zone.wait_until_converged()
+    assert time.monotonic() - started_at < 0.5
+    # Each watcher's feed call returned once and was made again.
+    time.sleep(0.3)
+    assert zone.store.calls.count(FEED) <= 2
+    assert READ not in zone.store.calls
+
+
+def test_new_version_is_in_force_in_time_after_the_watchers_were_killed(zone):
+    for member in watchers(zone):
+        member.node.kill()
+        zone.members.remove(member)
+    zone.configure(route())
+    started_at = time.monotonic()
+    for member in zone.members:
+        wait_until(lambda: member.node.configuration.version() == zone._version)
+    assert time.monotonic() - started_at < 3.0
+
+
+def test_started_node_reads_its_zone_and_follows_a_watcher(zone):
+    zone.store.calls.clear()
+    member = zone.add("stock", "a")
+    wait_until(lambda: member.node.configuration.version() == zone._version)
+    wait_until(lambda: len(member.node.directory.peers()) == 5)
+    for other in zone.members[:-1]:
+        wait_until(lambda: len(other.node.directory.peers()) == 5)
+    assert zone.store.calls.count(READ) == 1
+    assert zone.store.calls.count(WRITE) == 1
+
+
+def test_zone_goes_on_without_the_store_and_catches_up_after_it(zone):
+    zone.store.status = 503
+    time.sleep(1.0)
+    assert zone.members[0].call().status == 200
+    zone.configure(route())
+    zone.store.status = 0
+    started_at = time.monotonic()
+    zone.wait_until_converged()
+    assert time.monotonic() - started_at < 3.0
+
+
+def test_stopping_watcher_sends_its_followers_away(zone):
+    leaving, _ = watchers(zone)
+    leaving.node.store_client.relay.close()
+    followers = [each for each in zone.members if each is not leaving]
+    zone.configure(route())
+    for member in followers:
+        wait_until(lambda: member.node.configuration.version() == zone._version, 3)
+
+
+def test_removed_row_is_forgotten_by_followers(zone):
+    follower, *_ = [each for each in zone.members if each not in watchers(zone)]
+    gone = next(each for each in zone.members if each is not follower)
+    row = {"table": "cyclamenvane-nodes", "part": "a", "key": gone.settings.node}
+    gone.node.kill()
+    zone.store.transact({"deletes": [row]})
+    wait_until(lambda: len(follower.node.directory.peers()) == 3)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,6 +40,8 @@
     assert settings.drain_timeout == timedelta(seconds=2)
     assert settings.retry_budget_slack == 49
     assert settings.memory_bytes == 300 * 1024 * 1024
+    assert not settings.first_start
+    assert parse_mesh_settings(TEXT + "bootstrap=true\n").ok.first_start
 
 
 def test_each_problem_names_its_field():
