Refuse new root calls once a stopping node refuses forwarded ones

Change: once forwarded requests are refused, new roots get 503 as not run; nested calls are still served. The test fails before the change.

--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -117,6 +117,9 @@
         self._get_version = get_version
         self._on_newer_version = on_newer_version
         self._on_unreachable = on_unreachable
+        # Set on shutdown: a new root call may not end before the process does. Nested
+        # calls belong to roots that are served already.
+        self.closed = False
         self._local_peer = Peer(local_record(), clock)
         self._response_sizes = ResponseSizes()
 
@@ -127,6 +130,9 @@
             return _refuse(Reason.NO_TARGET, _MAX_RETRY_AFTER, detail, "", 0)
         service = select_service(call.route, random.random())
         if not call.rank.depth:
+            if self.closed:
+                detail = "the node is stopping"
+                return _refuse(Reason.LEAVING, _MIN_RETRY_AFTER, detail, service, 0)
             refusal = self._refuse_if_overloaded(call, service)
             if refusal is not None:
                 return refusal
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -190,7 +190,8 @@
         """Drain the calls in progress; return whether all have ended.
 
         Readiness fails first, so callers use other nodes. Then the node is reported as
-        leaving, so nodes select other targets. Then forwarded requests get `NOT_RUN`.
+        leaving, so nodes select other targets. Then forwarded requests get `NOT_RUN`,
+        and new root calls are refused.
         """
         started_at = self._clock.monotonic()
         deadline = started_at + self.settings.grace_period - _EXIT_MARGIN
@@ -201,7 +202,7 @@
         self.target_proxy.leaving = True
         self.store_client.relay.close()
         self._stop_event(_LEAVING_PROPAGATION_TIME)
-        self.target_proxy.closed = True
+        self.target_proxy.closed = self.dispatcher.closed = True
         while self._clock.monotonic() < deadline:
             self._stop_event(_DRAIN_POLL_INTERVAL)
             if (
--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -67,7 +67,7 @@
         self.host = f"127.0.0.{10 + number}"
         self.service, self.zone = service, zone
         self.target = TargetStandIn(instance=f"i-{number}", host=self.host)
-        self._mesh = mesh
+        self.mesh = mesh
         self._sequence = itertools.count(1)
         self.born = 1_700_000_000_000 + number
         self.settings = self._make_settings(f"n-{number}")
@@ -76,7 +76,7 @@
         )
 
     def _make_settings(self, name: str) -> MeshSettings:
-        host, mesh = self.host, self._mesh
+        host, mesh = self.host, self.mesh
         return MeshSettings(
             node=name,
             zone=self.zone,
--- a/tests/mesh/test_lifecycle.py
+++ b/tests/mesh/test_lifecycle.py
@@ -9,6 +9,7 @@
 
 from builders import make_heartbeat
 from mesh_harness import POST, free_port, make_request, route, wait_until
+from target_standin import make_response
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh import MeshNode
@@ -45,6 +46,34 @@
     assert stopping.result(5)
 
 
+def test_a_stopping_node_refuses_late_roots_and_serves_nested_calls(pair):
+    """A late root would be cut by the end of the process."""
+    entry, remote = pair
+    remote.target.delay = 0.5
+    nested = []
+
+    def call_late(sock, request):
+        wait_until(lambda: entry.node.target_proxy.closed)
+        nested.append(entry.call("/items/2", attempt="a1.01"))
+        return make_response(request, b"whole")
+
+    entry.target.script = call_late
+    entry_route = route("desk", "/desk/", service="desk")
+    entry.mesh.configure(route(), entry_route)
+    wait_until(lambda: entry.node.configuration.version() == 10)
+    with entry.connect() as sock, entry.connect() as late:
+        sock.sendall(make_request("/desk/"))
+        wait_until(lambda: entry.node.target_proxy.load().in_flight)
+        entry.node.executor.submit(entry.node.stop)
+        wait_until(lambda: entry.node.target_proxy.closed)
+        late.sendall(make_request(attempt="late"))
+        refused = late.recv(65536)
+        assert refused.startswith(b"HTTP/1.1 503") and b"Retry-After" in refused
+        assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+    assert [each.status for each in nested] == [200]
+    assert all(b"late" not in dict(r.headers).values() for r in remote.target.executed)
+
+
 def test_an_unresponsive_node_gets_no_calls_after_the_first_time_out(mesh):
     entry, _ = mesh.add("desk"), mesh.add()
     mesh.configure(route(timeoutS=0.4))
