Follow the store with one node of a zone instead of two

A second watcher doubles the polls and the reads of each change, and the next node in rank follows the store as soon as it is asked.

--- a/src/cyclamenvane/mesh/watchers.py
+++ b/src/cyclamenvane/mesh/watchers.py
@@ -1,7 +1,7 @@
 """Selection of the nodes that follow the store for their zone.
 
-Answers the load that a fleet puts on the store: a few nodes of each zone, the
-watchers, follow the store, and the other nodes of the zone follow a watcher. All
+Answers the load that a fleet puts on the store: one node of each zone, or a few of a
+large one, are watchers and follow the store; the other nodes of the zone follow them. All
 nodes rank the nodes of their zone by the same hash, so those that know the same nodes
 agree on the watchers without talking. No agreement is needed: a node that is asked
 for updates becomes a watcher for a while, whatever its rank.
@@ -24,7 +24,6 @@
 
 __all__ = ["WatcherSelection", "rank_nodes"]
 
-_MIN_WATCHERS = 2  # per zone, so that one may end unnoticed
 _NODES_PER_WATCHER = 64  # each follower occupies a task of its watcher
 # How long a watcher that did not answer is left alone, doubled each time.
 _INITIAL_PAUSE = timedelta(seconds=1)
@@ -122,7 +121,7 @@
         )
 
     def _select_watchers(self, nodes: list[str], now: timedelta) -> list[str]:
-        count = max(_MIN_WATCHERS, math.ceil(len(nodes) / _NODES_PER_WATCHER))
+        count = math.ceil(len(nodes) / _NODES_PER_WATCHER)
         ranked = rank_nodes(nodes)
         lost = [node for node in ranked if now < self._without_store.get(node, now)]
         skipped = lost[:_MAX_REPLACED_WATCHERS]
