Bound what a target or the store may send for one exchange

Cause: heads, interim responses, chunk extensions, trailers and bodies without an end were collected until the call's deadline, without a bound in memory; a frame over the limit of the peer stream ended the process as a broken invariant (by reading). Change: 1 MB beside the body, a tenth of the memory limit for the body, 16 MB for a response of the store; the connection is closed and the call's outcome is unknown. Ten kinds of endless responses are tested; the tests fail before the change.

--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -73,7 +73,10 @@
     def _feed(self, data: bytes) -> None:
         if not data:
             raise FrameError("connection closed by the peer")
-        self._unpacker.feed(data)
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull as error:
+            raise FrameError(f"frame of over {_MAX_FRAME_BYTES} bytes") from error
 
     def _next_frame(self) -> list[Any] | None:
         try:
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -21,6 +21,9 @@
 __all__ = ["Request", "RequestError", "RequestReader", "ResponseReader"]
 
 
+_OVERHEAD_PER_BODY_BYTE = 8  # of chunks that carry one byte each
+
+
 class RequestError(Enum):
     """Reason why received data is not a valid request, with the response status."""
 
@@ -163,13 +166,23 @@
     `matches_request` decides by the status and headers of a response whether it
     belongs to the request. Other responses are discarded. `extra_data` is set if one
     is discarded, if data follows the matching response, or if data is malformed.
+
+    `malformed` is also set by more than `max_overhead` bytes that are not part of the
+    matching response's body, beside `_OVERHEAD_PER_BODY_BYTE` for each byte that is,
+    and by a body of more than `max_body` bytes.
     """
 
     def __init__(
         self,
         method: bytes,
         matches_request: Callable[[int, list[tuple[bytes, bytes]]], bool],
+        max_overhead: int,
+        max_body: int,
     ) -> None:
+        self._max_overhead = max_overhead
+        self._max_body = max_body
+        self._received_bytes = 0
+        self._body_bytes = 0
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.complete = False
@@ -204,6 +217,14 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.malformed = not self.complete
             self.extra_data = True
+        self._received_bytes += len(data)
+        if not self.complete and self._exceeds_limits():
+            self.malformed = self.extra_data = True
+
+    def _exceeds_limits(self) -> bool:
+        overhead = self._received_bytes - self._body_bytes
+        allowed = self._max_overhead + self._body_bytes * _OVERHEAD_PER_BODY_BYTE
+        return self._body_bytes > self._max_body or overhead > allowed
 
     def release(self) -> None:
         """Drop the parser to break its reference cycle with this reader."""
@@ -247,6 +268,7 @@
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a piece of the body."""
         if self._matched and not self.complete:
+            self._body_bytes += len(data)
             self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -43,6 +43,7 @@
 __all__ = ["MeshNode"]
 
 _BODY_MEMORY_SHARE = 0.25  # of the process memory, for request bodies being read
+_RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
 _MAX_THREADS = 512  # about 100 KB each; further calls wait for a free one
 _LISTENER_DESCRIPTOR_SHARE = 0.35  # of the file descriptors, per listener
 # Callers use other nodes after two failed readiness probes, sent once a second.
@@ -96,7 +97,12 @@
             clock,
         )
         self.gate = Gate(clock)
-        self._upstream = Upstream(settings.target, adapter.header_names, clock)
+        self._upstream = Upstream(
+            settings.target,
+            adapter.header_names,
+            int(settings.memory_bytes * _RESPONSE_MEMORY_SHARE),
+            clock,
+        )
         self.target_proxy = TargetProxy(
             self.registration,
             self.gate,
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -24,7 +24,10 @@
     from ..clock import Clock
     from .model import Address
 
-__all__ = ["ExchangeOutcome", "ExchangeResult", "Upstream"]
+__all__ = ["MAX_OVERHEAD_BYTES", "ExchangeOutcome", "ExchangeResult", "Upstream"]
+
+# Of heads, interim responses and late responses to earlier requests, per exchange.
+MAX_OVERHEAD_BYTES = 1024 * 1024
 
 # The target is on the same VM, so an open port accepts immediately.
 _CONNECT_TIMEOUT = timedelta(milliseconds=250)
@@ -69,9 +72,14 @@
     """Connection pool to the target."""
 
     def __init__(
-        self, address: Address, header_names: HeaderNames, clock: Clock
+        self,
+        address: Address,
+        header_names: HeaderNames,
+        max_body_bytes: int,
+        clock: Clock,
     ) -> None:
         self._address = address
+        self._max_body_bytes = max_body_bytes
         self._header_names = header_names
         self._clock = clock
         self._idle: deque[_IdleConnection] = deque()
@@ -101,7 +109,12 @@
                 )
             self.opened += 1
         method = head[: head.find(b" ")]
-        reader = ResponseReader(method, self._make_matcher(attempt))
+        reader = ResponseReader(
+            method,
+            self._make_matcher(attempt),
+            MAX_OVERHEAD_BYTES,
+            self._max_body_bytes,
+        )
         keep = False
         try:
             wait_result, sent = send_all(sock, head + body, watch, until)
@@ -154,7 +167,7 @@
                 if not reader.complete:
                     return ExchangeResult(ExchangeOutcome.BROKEN, detail="ended early")
             if reader.malformed:
-                return ExchangeResult(ExchangeOutcome.BROKEN, detail="not HTTP")
+                return ExchangeResult(ExchangeOutcome.BROKEN, detail="not a response")
         return ExchangeResult(
             ExchangeOutcome.ANSWERED, reader.status, tuple(reader.headers), reader.body
         )
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -26,6 +26,7 @@
 __all__ = ["RowsClient"]
 
 _PAGE_ROWS = 500  # the store returns at most this many rows per response
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # a page of rows has about 1 MB
 _FAILURE_BY_STATUS = {
     410: RowsFailure.HISTORY_GONE,
     412: RowsFailure.CONFLICT,
@@ -111,11 +112,14 @@
             sent = True
             connection.request(method, url, body, headers)
             response = connection.getresponse()
-            data = response.read()
+            data = response.read(_MAX_RESPONSE_BYTES + 1)
         except _CONNECTION_ERRORS as error:
             self.close()
             failure = RowsFailure.UNKNOWN if sent else RowsFailure.UNAVAILABLE
             return Error(RowsError(failure, repr(error)))
+        if len(data) > _MAX_RESPONSE_BYTES:
+            self.close()
+            return Error(RowsError(RowsFailure.UNKNOWN, "response too large"))
         if response.status != 200:
             failure = _FAILURE_BY_STATUS.get(response.status, RowsFailure.REJECTED)
             detail = data[:200].decode(errors="replace")
--- /dev/null
+++ b/tests/mesh/test_endless_response.py
@@ -0,0 +1,124 @@
+"""Targets that send bytes that are no response until the connection is closed."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from mesh_harness import route, wait_until
+
+from cyclamenvane.mesh.upstream import MAX_OVERHEAD_BYTES
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Upstream-Signature: s-a1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = b"x" * 8192
+# The socket buffers of the connection hold some of what the target sends.
+BUFFERED_BYTES = 8 * 1024 * 1024
+
+
+def send_endless(member, start, piece, seconds=20):
+    """Make the target send `start`, then `piece` until the connection is closed."""
+    sent = []
+
+    def script(sock, request):
+        member.target.executed.append(request)
+        sock.settimeout(seconds)
+        total = len(start)
+        try:
+            sock.sendall(start)
+            while True:
+                sock.sendall(piece)
+                total += len(piece)
+        except OSError:
+            sent.append(total)
+        return None
+
+    member.target.script = script
+    return sent
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"", PIECE),
+        (b"HTTP/1.1 200 ", PIECE),
+        (HEAD + b"X-Long: ", PIECE),
+        (HEAD, b"X-Line: " + PIECE + b"\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
+        (CHUNKED + b"5;", PIECE),
+        (CHUNKED, b"1;" + PIECE + b"\r\nx\r\n"),
+        (CHUNKED + b"0\r\n", b"X-Line: " + PIECE + b"\r\n"),
+        (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n", PIECE),
+    ],
+    ids=[
+        "no head",
+        "status line",
+        "header value",
+        "header lines",
+        "interim responses",
+        "chunk extension",
+        "chunk extensions",
+        "trailer",
+        "body of another request",
+    ],
+)
+def test_endless_bytes_are_bounded(pair, start, piece):
+    entry, remote = pair
+    sent = send_endless(remote, start, piece)
+    response = entry.call("/orders/", "POST", b"x", deadline_ms=4000)
+    assert response.status == 502, "it may have run"
+    assert response.took < 2.0
+    wait_until(lambda: sent)
+    assert sent[0] <= MAX_OVERHEAD_BYTES + BUFFERED_BYTES
+    assert len(remote.target.executed) == 1
+    assert remote.node.gate.load().in_flight == 0
+    remote.target.script = None
+    assert entry.call("/orders/", "POST", b"x").status == 200
+
+
+def test_endless_body_is_bounded_by_a_share_of_the_memory(pair):
+    entry, remote = pair
+    sent = send_endless(remote, HEAD + b"\r\n", PIECE * 32)
+    response = entry.call("/orders/", "POST", b"x", deadline_ms=9000)
+    assert response.status == 502
+    wait_until(lambda: sent)
+    assert sent[0] <= remote.settings.memory_bytes * 0.1 + BUFFERED_BYTES
+    assert remote.node.gate.load().in_flight == 0
+
+
+def test_slow_endless_head_ends_at_the_deadline(pair):
+    entry, remote = pair
+
+    def script(sock, request):
+        try:
+            while True:
+                sock.sendall(b"X-Line: x\r\n")
+                time.sleep(0.05)
+        except OSError:
+            return None
+
+    remote.target.script = script
+    response = entry.call("/orders/", "POST", b"x", deadline_ms=600)
+    assert response.status in (502, 504) and response.took < 1.0
+
+
+def test_bytes_after_a_complete_response_belong_to_no_request(pair):
+    entry, remote = pair
+    whole = HEAD + b"Content-Length: 5\r\n\r\nwhole"
+    sent = send_endless(remote, whole, PIECE)
+    assert entry.call("/orders/", "POST", b"x").body == b"whole"
+    remote.target.script = None
+    assert entry.call("/orders/", "POST", b"x").body == b"whole"
+    # The connection was found to have data to read, and was closed.
+    wait_until(lambda: sent)
+    assert sent[0] <= BUFFERED_BYTES
+
+
+def test_idempotent_call_is_tried_elsewhere(mesh):
+    entry, bad, good = mesh.add("desk"), mesh.add(), mesh.add()
+    mesh.configure(route())
+    mesh.wait_until_converged()
+    send_endless(bad, HEAD, b"X-Line: " + PIECE + b"\r\n")
+    for number in range(4):
+        assert entry.call(attempt=f"a{number}").status == 200
+    assert good.target.executed
--- a/tests/mesh/test_memory.py
+++ b/tests/mesh/test_memory.py
@@ -14,7 +14,7 @@
 @pytest.mark.parametrize(
     "make",
     [
-        lambda: ResponseReader(b"GET", lambda status, headers: True),
+        lambda: ResponseReader(b"GET", lambda status, headers: True, 1000, 1000),
         lambda: RequestReader(CallerLimits()),
     ],
 )
--- a/tests/mesh/test_message.py
+++ b/tests/mesh/test_message.py
@@ -28,7 +28,10 @@
 
 def make_response_reader(attempt: bytes = b"7") -> ResponseReader:
     return ResponseReader(
-        b"GET", lambda status, headers: find_header(headers, b"x-id") == attempt
+        b"GET",
+        lambda status, headers: find_header(headers, b"x-id") == attempt,
+        max_overhead=100_000,
+        max_body=1_000_000,
     )
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,3 +98,12 @@
 def test_refused_connection_means_unavailable():
     client = RowsClient(("127.0.0.1", 9), TIMEOUT)
     assert client.read("t", "").error.failure is RowsFailure.UNAVAILABLE
+
+
+def test_endless_response_is_bounded(client, store, monkeypatch):
+    monkeypatch.setattr("cyclamenvane.platform.store._MAX_RESPONSE_BYTES", 1000)
+    store.put("t", "", "k", b"v" * 2000)
+    result = client.read("t", "")
+    assert result.error.failure is RowsFailure.UNKNOWN
+    monkeypatch.undo()
+    assert keys(client.read("t", "")) == ["k"]
