--- a/src/cyclamenvane/mesh/budget.py
+++ b/src/cyclamenvane/mesh/budget.py
@@ -5,6 +5,10 @@
 the slack, so that the sum of all shares stays below the overall bound. Tokens
 that a window earns and does not spend may be spent in a burst when calls start
 to fail.
+
+Answers targets that fail part of their calls, when the budget cannot cover all of
+them: less important calls leave a reserve for more important ones, so that some call
+trees complete rather than all of them failing at one call or another.
 """
 
 from __future__ import annotations
@@ -15,6 +19,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from ..calls import RANKS
+
 if TYPE_CHECKING:
     from ..clock import Clock
 
@@ -60,26 +66,33 @@
             bucket.calls += 1
             bucket.tokens += self._ratio
 
-    def spend(self, service: str, nodes: int) -> bool:
-        """Take one token for a retry; return False if none is available."""
+    def spend(self, service: str, nodes: int, rank: int = 0) -> bool:
+        """Take one token for a retry of a call; return False if none is available.
+
+        `rank` is that of the call's root: the higher, the more tokens have to remain.
+        """
         with self._lock:
             bucket = self._refill(service, nodes)
-            if bucket.tokens < 1:
+            reserve = (self._capacity(bucket, nodes) - 1) * rank / RANKS
+            if bucket.tokens < 1 + reserve:
                 return False
             bucket.tokens -= 1
             return True
 
     def _refill(self, service: str, nodes: int) -> _TokenBucket:
         now = self._clock.monotonic()
-        # This node's part of the slack for one window, at least one retry.
-        slack = max(1.0, self._slack / max(1, nodes))
         bucket = self._buckets.get(service)
         if bucket is None:
-            bucket = self._buckets[service] = _TokenBucket(slack, 0.0, now)
+            bucket = self._buckets[service] = _TokenBucket(0.0, 0.0, now)
+            bucket.tokens = self._capacity(bucket, nodes)
         elapsed_windows = (now - bucket.updated_at) / self._window
         bucket.updated_at = now
         bucket.calls *= math.exp(-elapsed_windows)
         bucket.tokens += self._slack / max(1, nodes) * elapsed_windows
-        capacity = slack + _BURST_SHARE * self._ratio * bucket.calls
-        bucket.tokens = min(bucket.tokens, capacity)
+        bucket.tokens = min(bucket.tokens, self._capacity(bucket, nodes))
         return bucket
+
+    def _capacity(self, bucket: _TokenBucket, nodes: int) -> float:
+        # This node's part of the slack for one window, at least one retry.
+        slack = max(1.0, self._slack / max(1, nodes))
+        return slack + _BURST_SHARE * self._ratio * bucket.calls
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -159,7 +159,7 @@
             peer = self._select_peer(call, service, tried, now)
             if peer is None:
                 break
-            if sends and not self._budget.spend(service, self._node_count()):
+            if sends and not self._may_retry(call, service):
                 break
             tried.add(peer.record.node)
             result = self._forward_call(call, service, peer, watch, now)
@@ -181,6 +181,9 @@
                 break
         return self._make_failure_result(call, service, last_unknown or result, sends)
 
+    def _may_retry(self, call: Call, service: str) -> bool:
+        return self._budget.spend(service, self._node_count(), call.rank.root)
+
     def _select_peer(
         self, call: Call, service: str, tried: set[str], now: timedelta
     ) -> Peer | None:
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cyclamenvane.calls import RANKS
 from cyclamenvane.mesh.budget import RetryBudget
 
 RATIO, SLACK, WINDOW = 0.2, 49.0, timedelta(seconds=10)
@@ -70,3 +71,28 @@
                         retries += 1
     first_sends = calls // nodes // 10 * nodes * 100
     assert retries <= RATIO * first_sends + SLACK
+
+
+def test_important_calls_get_the_retries_when_not_all_can(clock):
+    """A service rejects half of its calls: the budget covers the important ones."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW, clock)
+    asked = {0: 0, RANKS // 2: 0}
+    granted = dict(asked)
+    for step in range(4000):
+        clock.advance(0.002)
+        budget.add_call("s", 1)
+        important = step % 50 == 0
+        rank = 0 if important else RANKS // 2
+        if important or step % 2:
+            asked[rank] += 1
+            granted[rank] += budget.spend("s", 1, rank)
+    assert granted[0] >= 0.9 * asked[0]
+    assert 0 < granted[RANKS // 2] < 0.1 * asked[RANKS // 2]
+
+
+def test_single_failure_of_the_least_important_call_is_retried(clock):
+    budget = RetryBudget(RATIO, SLACK, WINDOW, clock)
+    for _ in range(2000):
+        clock.advance(0.01)
+        budget.add_call("s", 1)
+    assert budget.spend("s", 1, RANKS - 1)
