--- a/src/cyclamenvane/wire/server.py
+++ b/src/cyclamenvane/wire/server.py
@@ -134,6 +134,8 @@
         self._clock = clock
         self._executor = executor
         self._streams: set[Stream] = set()
+        self._closed = False
+        self._lock = threading.Lock()
         self._socket = socket.create_server(address, backlog=_BACKLOG)
         self.address = self._socket.getsockname()[:2]
 
@@ -148,7 +150,10 @@
         except OSError:
             pass
         self._socket.close()
-        for stream in list(self._streams):
+        with self._lock:
+            self._closed = True
+            streams = list(self._streams)
+        for stream in streams:
             stream.close()
 
     def check_alive(self) -> None:
@@ -172,7 +177,14 @@
             return
         configure_socket(sock)
         stream = Stream(sock, self._clock)
-        self._streams.add(stream)
+        with self._lock:
+            closed = self._closed
+            if not closed:
+                self._streams.add(stream)
+        if closed:
+            # The server was closed during the handshake.
+            stream.close()
+            return
         self._read(_StreamState(stream, accepted.ok))
 
     def _read(self, state: _StreamState) -> None:
