Let the node next in rank follow the configuration as well

Cause, by reading: a watcher whose connection to the store goes silent notices it after about 4 s, and its followers wait for it so long; a version would reach the zone only with calls from other zones. Change: the standby follows the configuration's table itself, one long poll more a zone. A follower whose watcher cannot help waits 0.1 to 0.3 s before it asks the next one, so that a stopping zone does not ask in a loop.

--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -39,7 +39,7 @@
 _CONNECT_TIMEOUT = timedelta(milliseconds=300)
 _MAX_WAIT = timedelta(seconds=5)  # that a follower may ask for
 _ROLE_INTERVAL = timedelta(milliseconds=500)  # between checks of a watcher's own role
-_RETRY_DELAY = timedelta(milliseconds=200)  # after a watcher did not answer
+_RETRY_DELAY = timedelta(milliseconds=200)  # after a watcher could not help
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -80,14 +80,18 @@
         updates: list[TableUpdate] = []
         if not self._closed:
             self._selection.record_request()
-            self._store_watch.start()
+            self._store_watch.follow_all()
             updates = self._replica.wait_for_updates(versions, wait)
         lost = self._closed or self._store_watch.state() is WatchState.LOST
         return [FrameKind.UPDATES, not lost, [_pack_update(each) for each in updates]]
 
 
 class Follower:
-    """Keeps the replica current: follows a watcher, or makes this node one."""
+    """Keeps the replica current: follows a watcher, or makes this node one.
+
+    The standby follows `standby_tables` itself besides, so that the zone gets their
+    changes while its watcher has lost the store and has not noticed.
+    """
 
     def __init__(
         self,
@@ -95,6 +99,7 @@
         replica: StoreReplica,
         store_watch: StoreWatch,
         selection: WatcherSelection,
+        standby_tables: Collection[str],
         clock: Clock,
         sleep: Sleep,
         connect: Callable[[Address], FrameStream] | None = None,
@@ -103,6 +108,7 @@
         self._replica = replica
         self._store_watch = store_watch
         self._selection = selection
+        self._standby_tables = standby_tables
         self._clock = clock
         self._sleep = sleep
         self._connect = connect or _open_stream
@@ -124,12 +130,13 @@
         self._log_change(watcher.node if watcher else self._local_node)
         if watcher is None:
             self._close()
-            self._store_watch.start()
+            self._store_watch.follow_all()
             if self._store_watch.state() is WatchState.LOST:
                 self._selection.record_store_lost(self._local_node)
             self._sleep(_ROLE_INTERVAL)
             return
-        self._store_watch.stop()
+        standby = self._selection.is_standby()
+        self._store_watch.follow(self._standby_tables if standby else ())
         answer = self._ask(watcher, watch)
         if answer is None:
             self._close()
@@ -142,6 +149,7 @@
             self._selection.record_answer(watcher.node)
         else:
             self._selection.record_store_lost(watcher.node)
+            self._sleep(_RETRY_DELAY * random.uniform(0.5, 1.5))
 
     def _log_change(self, followed: str) -> None:
         if followed != self._followed:
--- a/src/cyclamenvane/mesh/store_client.py
+++ b/src/cyclamenvane/mesh/store_client.py
@@ -67,7 +67,13 @@
         selection = WatcherSelection(node, self.discovery.list_zone, clock)
         self.relay = Relay(replica, self.store_watch, selection)
         self._follower = Follower(
-            node, replica, self.store_watch, selection, clock, sleep
+            node,
+            replica,
+            self.store_watch,
+            selection,
+            (adapter.configuration_table,),
+            clock,
+            sleep,
         )
 
     def tasks(self) -> list[Callable[[], None]]:
@@ -82,7 +88,7 @@
     def wake(self) -> None:
         """Wake the tasks, so that they notice that the node has stopped."""
         self.publisher.request_write()
-        self.store_watch.start()
+        self.store_watch.follow_all()
         self.relay.close()
 
     def _follow(self) -> None:
--- a/src/cyclamenvane/mesh/store_watch.py
+++ b/src/cyclamenvane/mesh/store_watch.py
@@ -27,33 +27,42 @@
 
 
 class StoreWatch:
-    """Runs the subscriptions while the node is a watcher, and records their results."""
+    """Runs the subscriptions of some tables, and records their results."""
 
     def __init__(self, tables: Collection[str], clock: Clock) -> None:
-        self._tables = tuple(tables)
         self._clock = clock
-        self._active = threading.Event()
-        self._started_at = timedelta()
+        self._active = {table: threading.Event() for table in tables}
+        self._started_at: dict[str, timedelta] = {}
         self._reached_at: dict[str, timedelta] = {}
         self._failing_since: dict[str, timedelta] = {}
         self._lock = threading.Lock()
 
-    def start(self) -> None:
-        """Start the subscriptions, unless they run."""
-        with self._lock:
-            if not self._active.is_set():
-                self._started_at = self._clock.monotonic()
-                self._reached_at.clear()
-                self._failing_since.clear()
-                self._active.set()
+    def follow_all(self) -> None:
+        """Run the subscriptions of all tables."""
+        self.follow(self._active)
 
-    def stop(self) -> None:
-        """Stop the subscriptions after the calls to the store that are running."""
-        self._active.clear()
+    def follow(self, tables: Collection[str]) -> None:
+        """Run the subscriptions of these tables only.
 
-    def wait(self) -> None:
-        """Wait until the subscriptions are to run."""
-        self._active.wait()
+        The others stop after the calls to the store that are running.
+        """
+        with self._lock:
+            for table, active in self._active.items():
+                if table not in tables:
+                    active.clear()
+                elif not active.is_set():
+                    self._started_at[table] = self._clock.monotonic()
+                    self._reached_at.pop(table, None)
+                    self._failing_since.pop(table, None)
+                    active.set()
+
+    def followed(self) -> set[str]:
+        """Return the tables whose subscriptions are to run."""
+        return {table for table, active in self._active.items() if active.is_set()}
+
+    def wait(self, table: str) -> None:
+        """Wait until the subscription of a table is to run."""
+        self._active[table].wait()
 
     def record_result(self, table: str, reached: bool) -> None:
         """Record whether the store answered a call about a table."""
@@ -66,18 +75,16 @@
                 self._failing_since.setdefault(table, now)
 
     def state(self) -> WatchState:
-        """Return whether the tables are followed without a failure."""
-        if not self._active.is_set():
-            return WatchState.STARTING
+        """Return whether all tables are followed without a failure."""
         now = self._clock.monotonic()
         with self._lock:
+            if len(self.followed()) < len(self._active):
+                return WatchState.STARTING
             if any(now - at > _LOST_AFTER for at in self._failing_since.values()):
                 return WatchState.LOST
-            last = [
-                self._reached_at.get(table, self._started_at) for table in self._tables
-            ]
+            last = (self._started_at | self._reached_at).values()
             if any(now - at > _MAX_RESULT_AGE for at in last):
                 return WatchState.LOST
-            if any(table not in self._reached_at for table in self._tables):
+            if any(table not in self._reached_at for table in self._active):
                 return WatchState.STARTING
         return WatchState.CURRENT
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -85,9 +85,9 @@
         self._history_gone = False
 
     def run(self) -> None:
-        """Follow the table whenever the node is a watcher, until it stops."""
+        """Follow the table whenever `store_watch` says so, until the node stops."""
         while not self._sleep.is_stopped():
-            self._store_watch.wait()
+            self._store_watch.wait(self._table)
             version = self._replica.versions()[self._table]
             if version is None or self._history_gone:
                 self._read_all()
--- a/src/cyclamenvane/mesh/watchers.py
+++ b/src/cyclamenvane/mesh/watchers.py
@@ -2,9 +2,10 @@
 
 Answers the load that a fleet puts on the store. One node of each zone, or a few of a
 large one, are watchers and follow the store; the other nodes follow a watcher of their
-zone. All nodes rank the nodes of their zone by the same hash, so those that know the
-same nodes agree on the watchers without talking. No agreement is needed: a node that
-is asked for updates becomes a watcher for a while, whatever its rank.
+zone. The node next in rank is the standby. All nodes rank the nodes of their zone by
+the same hash, so those that know the same nodes agree on the watchers without talking.
+No agreement is needed: a node that is asked for updates becomes a watcher for a while,
+whatever its rank.
 """
 
 from __future__ import annotations
@@ -64,6 +65,7 @@
         self._silent: dict[str, _Pause] = {}
         self._without_store: dict[str, timedelta] = {}
         self._failures = 0
+        self._standby = ""
         self._watching_until = timedelta()
 
     def select(self, has_rows: bool = True) -> NodeRecord | None:
@@ -86,6 +88,10 @@
         # Followers spread over the watchers by their own hash.
         return records[watchers[_hash(self._local_node) % len(watchers)]]
 
+    def is_standby(self) -> bool:
+        """Return whether the local node was next in rank in the last selection."""
+        return self._standby == self._local_node
+
     def record_request(self) -> None:
         """Record that another node follows the local one."""
         self._extend_watch(_WATCH_PERIOD)
@@ -125,8 +131,9 @@
         ranked = rank_nodes(nodes)
         lost = [node for node in ranked if now < self._without_store.get(node, now)]
         skipped = lost[:_MAX_REPLACED_WATCHERS]
-        kept = [node for node in ranked if node not in skipped]
-        return (kept or ranked)[:count]
+        kept = [node for node in ranked if node not in skipped] or ranked
+        self._standby = kept[count] if len(kept) > count else ""
+        return kept[:count]
 
 
 def rank_nodes(nodes: Collection[str]) -> list[str]:
--- a/tests/mesh/test_watchers.py
+++ b/tests/mesh/test_watchers.py
@@ -122,3 +122,24 @@
     assert selection.select(has_rows=False).node == second
     assert selection.select() is None
     assert Zone(clock, 1).selections["n-0"].select(has_rows=False) is None
+
+
+def test_next_in_rank_is_the_standby(clock):
+    zone = Zone(clock, 10)
+    for selection in zone.selections.values():
+        selection.select()
+    standby = [node for node in zone.ranked if zone.selections[node].is_standby()]
+    assert standby == [zone.ranked[1]]
+    alone = Zone(clock, 1).selections["n-0"]
+    alone.select()
+    assert not alone.is_standby()
+
+
+def test_standby_steps_up_when_the_watcher_is_silent(clock):
+    zone = Zone(clock, 10)
+    first, second, third = zone.ranked[:3]
+    for node in (second, third):
+        zone.selections[node].record_silence(first)
+    assert zone.followed(second) == second
+    zone.selections[third].select()
+    assert zone.selections[third].is_standby()
