--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -102,7 +102,6 @@
         standby_tables: Collection[str],
         clock: Clock,
         sleep: Sleep,
-        connect: Callable[[Address], FrameStream] | None = None,
     ) -> None:
         self._local_node = local_node
         self._replica = replica
@@ -111,7 +110,6 @@
         self._standby_tables = standby_tables
         self._clock = clock
         self._sleep = sleep
-        self._connect = connect or _open_stream
         self._stream: FrameStream | None = None
         self._followed = ""
 
@@ -163,7 +161,7 @@
         until = self._clock.monotonic() + _WAIT + _ANSWER_MARGIN
         try:
             if self._stream is None:
-                self._stream = self._connect(watcher.address)
+                self._stream = _open_stream(watcher.address)
             frame = _pack_request(self._replica.versions(), _WAIT)
             if self._stream.send(frame, watch, until) is not WaitResult.READY:
                 return None
