--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -25,9 +25,11 @@
 class FrameStream:
     """Frames sent and received on one connection."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(
+        self, sock: socket.socket, max_frame_bytes: int = _MAX_FRAME_BYTES
+    ) -> None:
         self.sock = sock
-        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_FRAME_BYTES)
+        self._unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
 
     def send(self, frame: list[Any], watch: Watch, until: timedelta) -> WaitResult:
         """Send a frame; raise OSError if the connection fails."""
@@ -76,7 +78,7 @@
         try:
             self._unpacker.feed(data)
         except msgpack.BufferFull as error:
-            raise FrameError(f"frame of over {_MAX_FRAME_BYTES} bytes") from error
+            raise FrameError("frame too large") from error
 
     def _next_frame(self) -> list[Any] | None:
         try:
--- a/src/cyclamenvane/mesh/watchers.py
+++ b/src/cyclamenvane/mesh/watchers.py
@@ -31,8 +31,8 @@
 _MAX_PAUSE = timedelta(seconds=8)
 # How long a watcher that has lost the store is avoided.
 _STORE_LOST_PAUSE = timedelta(seconds=3)
-# With more watchers than this without the store, the store rather than they is at
-# fault, and further watchers would not reach it either.
+# When more watchers than this have lost the store, the store is down, and further
+# watchers would not reach it either.
 _MAX_REPLACED_WATCHERS = 2
 _EXPLORERS = 2  # nodes of a zone that try the store when its watchers have lost it
 _MAX_FAILURES = 4  # watchers in a row that do not answer, before the store is tried
--- a/tests/mesh/test_relay.py
+++ b/tests/mesh/test_relay.py
@@ -89,6 +89,14 @@
 
 
 def test_zone_gets_a_version_while_its_watcher_is_silently_cut_off(zone):
+    def count_followers(table):
+        return sum(
+            table in member.node.store_client.store_watch.followed()
+            for member in zone.members
+        )
+
+    # Nodes that were watchers at first have ended the last call that they made.
+    wait_until(lambda: zone.store.waiting_feeds["op"] == count_followers("op"), 12)
     (watcher,) = watchers(zone)
     discovery = watcher.node.store_client.discovery
     discovery.replica.apply = lambda update: time.sleep(0.05)  # nothing arrives
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -10,6 +10,7 @@
 import json
 import threading
 import time
+from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -26,6 +27,7 @@
         self.lose_responses = False
         self.unresponsive = False
         self.calls: list[str] = []
+        self.waiting_feeds: Counter[str] = Counter()
         self._changed = threading.Condition()
         handler = type("Handler", (_Handler,), {"store": self})
         self._server = _Server(("127.0.0.1", 0), handler)
@@ -83,18 +85,27 @@
         after, deadline = int(query["after"]), time.monotonic()
         deadline += int(query["waitMs"]) / 1000
         with self._changed:
-            while True:
-                if after < self.oldest:
-                    return 410, {}
-                rows = [
-                    row
-                    for row in self.history
-                    if row["table"] == query["table"] and row["rowVersion"] > after
-                ]
-                remaining = deadline - time.monotonic()
-                if rows or remaining <= 0:
-                    return 200, {"rows": rows, "rowVersion": self.version}
-                self._changed.wait(remaining)
+            self.waiting_feeds[query["table"]] += 1
+            try:
+                return self._wait_for_rows(query, after, deadline)
+            finally:
+                self.waiting_feeds[query["table"]] -= 1
+
+    def _wait_for_rows(
+        self, query: dict, after: int, deadline: float
+    ) -> tuple[int, dict]:
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            rows = [
+                row
+                for row in self.history
+                if row["table"] == query["table"] and row["rowVersion"] > after
+            ]
+            remaining = deadline - time.monotonic()
+            if rows or remaining <= 0:
+                return 200, {"rows": rows, "rowVersion": self.version}
+            self._changed.wait(remaining)
 
     def _store(self, row: dict) -> None:
         self.rows[_row_id(row)] = row
