--- a/src/cyclamenvane/mesh/configuration.py
+++ b/src/cyclamenvane/mesh/configuration.py
@@ -43,7 +43,7 @@
 class CurrentConfiguration:
     """Holds the newest configuration that this process has received."""
 
-    def __init__(self, on_change: Callable[[Configuration], None]) -> None:
+    def __init__(self, on_change: Callable[[Configuration, str], None]) -> None:
         self._table: RouteTable | None = None
         self._on_change = on_change
         self._lock = threading.Lock()
@@ -57,14 +57,17 @@
         table = self._table
         return table.configuration.version if table else 0
 
-    def apply(self, configuration: Configuration) -> bool:
-        """Put a configuration in force; return False if its version is not newer."""
+    def apply(self, configuration: Configuration, source: str) -> bool:
+        """Put a configuration in force; return False if its version is not newer.
+
+        `source` says for the log where the configuration was received from.
+        """
         table = _make_route_table(configuration)
         with self._lock:
             if configuration.version <= self.version():
                 return False
             self._table = table
-        self._on_change(configuration)
+        self._on_change(configuration, source)
         return True
 
 
@@ -79,12 +82,15 @@
     )
 
 
-def report_configuration(configuration: Configuration, metrics: Metrics) -> None:
+def report_configuration(
+    metrics: Metrics, configuration: Configuration, source: str
+) -> None:
     """Log a version that has come into force, and its problems."""
     version, problems = configuration.version, configuration.problems
     eliot.log_message(
         "configuration:in_force",
         version=version,
+        source=source,
         routes=len(configuration.routes),
         problems=len(problems),
     )
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -155,7 +155,7 @@
                     in_force=self._configuration.version(),
                 )
             else:
-                self._configuration.apply(decoded.ok)
+                self._configuration.apply(decoded.ok, "rows")
 
     def apply_node_snapshot(self, changes: list[RowChange]) -> None:
         """Apply the records of all nodes, and remove nodes without one."""
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import eliot
@@ -70,7 +71,7 @@
         self.metrics = Metrics()
         self.executor: ThreadPoolExecutor = TaskPool(_MAX_THREADS)
         self.configuration = CurrentConfiguration(
-            lambda configuration: report_configuration(configuration, self.metrics)
+            partial(report_configuration, self.metrics)
         )
         self._call_reporter = CallReporter(
             self.metrics,
--- a/src/cyclamenvane/mesh/peer_sync.py
+++ b/src/cyclamenvane/mesh/peer_sync.py
@@ -128,15 +128,15 @@
             frame = [FrameKind.SNAPSHOT]
             response = self._peers.request(address, frame, watch, _REQUEST_TIMEOUT)
             if response is not None:
-                self._apply_snapshot(response)
+                self._apply_snapshot(response, address)
 
-    def _apply_snapshot(self, frame: list[Any]) -> None:
+    def _apply_snapshot(self, frame: list[Any], address: Address) -> None:
         if len(frame) != 3 or frame[0] != FrameKind.SNAPSHOT:
             eliot.log_message("node:snapshot_invalid")
             return
         decoded = self._decode_configuration(frame[1])
         if decoded.is_ok():
-            self._configuration.apply(decoded.ok)
+            self._configuration.apply(decoded.ok, f"snapshot of {address[0]}")
         for data in frame[2]:
             record = decode_record(data)
             if record is not None:
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -99,9 +99,10 @@
         rows: list[RowChange] = []
         version: int | None = None
         for part in self._parts():
+            started_at = self._clock.monotonic()
             page = self._store.read(self._table, part)
             if page.is_error():
-                self._handle_failure(page.error)
+                self._handle_failure(page.error, started_at)
                 return
             rows += page.ok.changes
             # With the first part's version, changes may repeat but none is missed.
@@ -117,7 +118,7 @@
                 eliot.log_message("store:history_gone", table=self._table)
                 self._history_gone = True
             else:
-                self._handle_failure(page.error)
+                self._handle_failure(page.error, started_at)
             return
         self._apply(False, page.ok.changes, page.ok.version)
         if self._clock.monotonic() - started_at > _MAX_BATCH_DELAY:
@@ -133,6 +134,8 @@
         self._backoff.reset()
         self._on_result(True, self._table)
 
-    def _handle_failure(self, error: RowsError) -> None:
-        self._on_result(False, f"{self._table}: {error.failure.value} {error.detail}")
+    def _handle_failure(self, error: RowsError, started_at: timedelta) -> None:
+        waited = (self._clock.monotonic() - started_at) // timedelta(milliseconds=1)
+        failure = f"{error.failure.value} after {waited} ms {error.detail}"
+        self._on_result(False, f"{self._table}: {failure}")
         self._sleep(self._backoff.next_delay())
--- a/tests/mesh/test_configuration.py
+++ b/tests/mesh/test_configuration.py
@@ -10,7 +10,7 @@
 
 @pytest.fixture
 def current():
-    return CurrentConfiguration(lambda configuration: None)
+    return CurrentConfiguration(lambda configuration, source: None)
 
 
 def test_route_with_longest_prefix_is_found(current):
@@ -19,7 +19,7 @@
         make_route(name="long", prefix="/items/new/"),
         make_route(name="root", host="other.example", prefix="/"),
     ]
-    current.apply(make_configuration(1, routes))
+    current.apply(make_configuration(1, routes), "test")
     table = current.current()
 
     def find(host, path):
@@ -35,8 +35,17 @@
 
 
 def test_older_versions_are_ignored(current):
-    assert current.apply(make_configuration(7))
-    assert not current.apply(make_configuration(7))
-    assert not current.apply(make_configuration(6))
+    assert current.apply(make_configuration(7), "test")
+    assert not current.apply(make_configuration(7), "test")
+    assert not current.apply(make_configuration(6), "test")
     assert current.version() == 7
-    assert current.apply(make_configuration(12))
+    assert current.apply(make_configuration(12), "test")
+
+
+def test_source_of_a_version_is_reported():
+    reported = []
+    current = CurrentConfiguration(lambda *change: reported.append(change))
+    configuration = make_configuration(7)
+    current.apply(configuration, "rows")
+    current.apply(make_configuration(6), "snapshot of 10.0.0.1")
+    assert reported == [(configuration, "rows")]
--- a/tests/mesh/test_subscription.py
+++ b/tests/mesh/test_subscription.py
@@ -66,7 +66,7 @@
         return
 
 
-def follow(store, sleep, clock):
+def follow(store, sleep, clock, on_result=lambda reached, detail: None):
     received = []
     callbacks = TableCallbacks(
         lambda rows: received.append([row.key for row in rows]),
@@ -80,7 +80,7 @@
         lambda: [""],
         StoreReplica({"t": callbacks}),
         store_watch,
-        lambda reached, detail: None,
+        on_result,
         clock,
         sleep,
     ).run()
@@ -127,6 +127,14 @@
     assert sleep.durations[4] > sleep.durations[0]
 
 
+def test_a_failure_is_reported_with_how_long_the_call_had_waited(clock):
+    store = ScriptedStore([Ok(RowsPage((), 5))], [])
+    store.on_watch = lambda: clock.advance(2.5)
+    results = []
+    follow(store, FakeSleep(1), clock, lambda *result: results.append(result))
+    assert results == [(True, "t"), (False, "t: unavailable after 2500 ms ")]
+
+
 @pytest.fixture
 def publish_record(store):
     """Return a function that publishes a record and returns the stored rows."""
--- a/tests/platform/test_configuration_changes.py
+++ b/tests/platform/test_configuration_changes.py
@@ -62,11 +62,11 @@
 
 @given(changed_documents())
 def test_a_changed_document_leaves_a_version_in_force(document):
-    current = CurrentConfiguration(lambda configuration: None)
-    current.apply(decode(CONFIGURATION).ok)
+    current = CurrentConfiguration(lambda configuration, source: None)
+    current.apply(decode(CONFIGURATION).ok, "test")
     decoded = decode(document)
     if decoded.is_ok():
-        current.apply(decoded.ok)
+        current.apply(decoded.ok, "test")
     assert current.version() >= 7
     for host, path in REQUESTS:
         current.current().find_route(host, path)
@@ -77,8 +77,8 @@
     decoded = decode(document)
     if decoded.is_error():
         return
-    current = CurrentConfiguration(lambda configuration: None)
-    current.apply(decoded.ok)
+    current = CurrentConfiguration(lambda configuration, source: None)
+    current.apply(decoded.ok, "test")
     # The document's routes in their order, which is the order of the decoded ones.
     for written, route in zip(document["routes"], decoded.ok.routes, strict=True):
         kinds = ("idempotent", "egress_download")
