Add a failing test of versions written after a silence of the store

The test lets the store stop answering on open connections for 0.5 s and for 10 s, and writes a version when it answers again. On this code the version is not in force 3 s later in either case: the node waits 9 s for the answer to a call that is lost.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's row store, served over HTTP.
 
 It keeps rows in memory, with transactions, ranges, a feed and a bounded
-history. Tests can make it unresponsive, return error statuses or lose responses.
+history. Tests can make it unresponsive or silent, return error statuses or lose
+responses.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
         self.status = 0
         self.lose_responses = False
         self.unresponsive = False
+        self.silent = False
+        self.silences = 0
         self.calls: list[str] = []
         self.waiting_feeds: Counter[str] = Counter()
         self._changed = threading.Condition()
@@ -40,6 +43,14 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def start_silence(self) -> None:
+        """Never answer the calls in progress and those made until `end_silence`."""
+        self.silences += 1
+        self.silent = True
+
+    def end_silence(self) -> None:
+        self.silent = False
+
     def put(self, table: str, part: str, key: str, value: bytes) -> None:
         row = {"table": table, "part": part, "key": key}
         text = base64.b64encode(value).decode()
@@ -143,9 +154,14 @@
     def _answer(self, path: str, perform) -> None:
         store = self.store
         store.calls.append(path)
+        silences, lost = store.silences, store.silent
         while store.unresponsive:
             time.sleep(0.02)
         status, document = (store.status, {}) if store.status else perform()
+        if lost or store.silences != silences:
+            self.rfile.read(1)  # until the client closes the connection
+            self.close_connection = True
+            return
         if store.lose_responses:
             self.close_connection = True
             return
