Notice lost answers of the store within its recovery time

Cause: a node let the store wait 8 s for changes and gave up after 9 s, whatever had become of the connection. The store stopped answering from 26.0 to 34.4 s without closing connections. All polls had been sent together, after the last change at 24.0, timed out together at 33.1 and were sent again, to a store that did not answer yet; nobody asked before 42.4 s. Class of fault: a time limit for a lost answer that is longer than the time in which the answer is needed.

Change: a call is overdue after 0.8 of the platform's stable window, 2.4 s of 3 s, so polls last 1.4 s. After a failure a poll does not wait, so it fails after 1 s. Connecting takes 1 s at most instead of 9 s. Both tables have the limit.

Cost: reads of a zone at rest rise from 0.375 to 2.1 a second (by arithmetic).

--- a/src/cyclamenvane/mesh/adapter.py
+++ b/src/cyclamenvane/mesh/adapter.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from expression import Result
 
@@ -20,7 +21,8 @@
     """The functions and names of a platform that a mesh node uses.
 
     `parse_ancestor_ids` returns the attempt IDs of a call's ancestors and of the
-    call, the root first. A call without ancestors is its own root.
+    call, the root first. A call without ancestors is its own root. Calls to the store
+    fail after `store_timeout`, in addition to what they let the store wait.
     """
 
     header_names: HeaderNames
@@ -28,5 +30,6 @@
     configuration_table: str
     configuration_key: str
     open_store: Callable[[Address], RowStore]
+    store_timeout: timedelta
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
     parse_ancestor_ids: Callable[[bytes], tuple[bytes, ...]]
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -16,7 +16,7 @@
 from .publication import NODES_TABLE, RecordPublisher, decode_record
 from .replica import StoreReplica, TableCallbacks
 from .rows import RowChange, RowStore, StoredRow
-from .subscription import Backoff, Subscription
+from .subscription import Backoff, Subscription, compute_watch_timeout
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -96,6 +96,9 @@
             self.replica,
             self._store_watch,
             self._on_store_result,
+            compute_watch_timeout(
+                self._get_settings().store_recovery_time, self._adapter.store_timeout
+            ),
             self._clock,
             self._sleep,
         )
--- a/src/cyclamenvane/mesh/model.py
+++ b/src/cyclamenvane/mesh/model.py
@@ -145,11 +145,13 @@
     """The location, the addresses and the limits of a node.
 
     `grace_period` is the time in which the process exits after a request to stop.
-    `drain_timeout` is the time in which a target that has announced its shutdown may
-    still get calls. `retry_budget_ratio` and `retry_budget_slack` limit the retries of
-    all nodes to one service within `retry_budget_window`: at most the ratio times its
-    calls, plus the slack. `first_start` is whether the whole fleet starts for the first
-    time, so that no node's record is stored yet.
+    `store_recovery_time` is the time after a disruption of the store or of the links in
+    which the node has to follow the store again. `drain_timeout` is the time in which a
+    target that has announced its shutdown may still get calls. `retry_budget_ratio` and
+    `retry_budget_slack` limit the retries of all nodes to one service within
+    `retry_budget_window`: at most the ratio times its calls, plus the slack.
+    `first_start` is whether the whole fleet starts for the first time, so that no
+    node's record is stored yet.
     """
 
     node: str
@@ -165,6 +167,7 @@
     memory_bytes: int
     max_open_files: int
     grace_period: timedelta
+    store_recovery_time: timedelta
     drain_timeout: timedelta
     retry_budget_ratio: float
     retry_budget_slack: float
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -24,11 +24,13 @@
     from .stop_event import Sleep
     from .store_watch import StoreWatch
 
-__all__ = ["Subscription", "Backoff"]
+__all__ = ["Backoff", "Subscription", "compute_watch_timeout"]
 
-# Long enough to need few calls, short enough to detect a dead connection that
-# keep-alive probes do not reveal.
-_WATCH_TIMEOUT = timedelta(seconds=8)
+# Share of the store's recovery time for which a node may wait for an answer that has
+# been lost. The rest is for asking again and for passing the changes on.
+_MAX_SILENCE_SHARE = 0.8
+_MIN_WATCH_TIMEOUT = timedelta(milliseconds=500)
+_MAX_WATCH_TIMEOUT = timedelta(seconds=8)
 # Delay after a read that returned changes, so that the next one covers more of them.
 # The first change after a quiet time is read at once.
 _MIN_BATCH_DELAY = timedelta(milliseconds=60)
@@ -53,12 +55,29 @@
         """Start again with the initial delay, after a success."""
         self._next = None
 
+    def is_retrying(self) -> bool:
+        """Return whether there has been a failure since the last success."""
+        return self._next is not None
+
+
+def compute_watch_timeout(
+    recovery_time: timedelta, call_timeout: timedelta
+) -> timedelta:
+    """Return how long to let the store wait for changes.
+
+    A connection may go silent without an error, so the store's answer is overdue
+    after this and `call_timeout`. The node has to follow the store again within
+    `recovery_time` after a disruption.
+    """
+    timeout = recovery_time * _MAX_SILENCE_SHARE - call_timeout
+    return min(max(timeout, _MIN_WATCH_TIMEOUT), _MAX_WATCH_TIMEOUT)
+
 
 class Subscription:
     """Applies the rows of one table and their changes to the replica.
 
-    `on_result` gets whether the store answered, and the table, followed by the error
-    after a failure.
+    `watch_timeout` is how long the store waits for changes. `on_result` gets whether
+    the store answered, and the table, followed by the error after a failure.
     """
 
     def __init__(
@@ -69,6 +88,7 @@
         replica: StoreReplica,
         store_watch: StoreWatch,
         on_result: Callable[[bool, str], None],
+        watch_timeout: timedelta,
         clock: Clock,
         sleep: Sleep,
     ) -> None:
@@ -78,6 +98,7 @@
         self._replica = replica
         self._store_watch = store_watch
         self._on_result = on_result
+        self._watch_timeout = watch_timeout
         self._clock = clock
         self._sleep = sleep
         self._backoff = Backoff()
@@ -112,7 +133,10 @@
 
     def _watch_changes(self, version: int) -> None:
         started_at = self._clock.monotonic()
-        page = self._store.watch(self._table, version, _WATCH_TIMEOUT)
+        # A store that is unavailable may never answer, so a retry does not wait.
+        retrying = self._backoff.is_retrying()
+        timeout = timedelta() if retrying else self._watch_timeout
+        page = self._store.watch(self._table, version, timeout)
         if page.is_error():
             if page.error.failure is RowsFailure.HISTORY_GONE:
                 eliot.log_message("store:history_gone", table=self._table)
--- a/src/cyclamenvane/platform/adapter.py
+++ b/src/cyclamenvane/platform/adapter.py
@@ -31,6 +31,7 @@
         configuration_table="op",
         configuration_key="config",
         open_store=lambda address: RowsClient(address, _STORE_TIMEOUT),
+        store_timeout=_STORE_TIMEOUT,
         decode_configuration=decode_configuration,
         parse_ancestor_ids=parse_ancestor_ids,
     )
--- a/src/cyclamenvane/platform/settings.py
+++ b/src/cyclamenvane/platform/settings.py
@@ -104,6 +104,9 @@
     fields.values.update({f"bounds.{name}": value for name, value in bounds.items()})
     return {
         "grace_period": fields.read("bounds.gracePeriodS", _parse_seconds, timedelta()),
+        "store_recovery_time": fields.read(
+            "bounds.stableWindowS", _parse_seconds, timedelta()
+        ),
         # Starts when the target's announcement is acknowledged.
         "drain_timeout": fields.read(
             "bounds.drainTimeoutS", _parse_seconds, timedelta()
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -132,7 +132,9 @@
 
     def _connect(self, timeout: float) -> http.client.HTTPConnection:
         if self._connection is None:
-            connection = http.client.HTTPConnection(*self._address, timeout=timeout)
+            connection = http.client.HTTPConnection(
+                *self._address, timeout=self._timeout
+            )
             connection.connect()
             enable_keepalive(connection.sock)
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -91,6 +91,7 @@
             memory_bytes=300 * 1024 * 1024,
             max_open_files=1000,
             grace_period=timedelta(seconds=4),
+            store_recovery_time=timedelta(seconds=3),
             drain_timeout=timedelta(seconds=1),
             retry_budget_ratio=0.2,
             retry_budget_slack=49,
--- a/tests/mesh/test_subscription.py
+++ b/tests/mesh/test_subscription.py
@@ -19,11 +19,12 @@
     StoredRow,
 )
 from cyclamenvane.mesh.store_watch import StoreWatch
-from cyclamenvane.mesh.subscription import Subscription
+from cyclamenvane.mesh.subscription import Subscription, compute_watch_timeout
 from cyclamenvane.platform.store import RowsClient
 
 from builders import make_record  # isort: skip
 
+WATCH_TIMEOUT = timedelta(seconds=1.5)
 UNAVAILABLE_RESULT = Error(RowsError(RowsFailure.UNAVAILABLE))
 HISTORY_GONE_RESULT = Error(RowsError(RowsFailure.HISTORY_GONE))
 
@@ -51,7 +52,7 @@
 
     def __init__(self, reads, watches):
         self.reads, self.watches = deque(reads), deque(watches)
-        self.watched_versions = []
+        self.watched_versions, self.watch_timeouts = [], []
         self.on_watch = lambda: None
 
     def read(self, table, part):
@@ -59,6 +60,7 @@
 
     def watch(self, table, after, wait):
         self.watched_versions.append(after)
+        self.watch_timeouts.append(wait)
         self.on_watch()
         return self.watches.popleft() if self.watches else UNAVAILABLE_RESULT
 
@@ -81,6 +83,7 @@
         StoreReplica({"t": callbacks}),
         store_watch,
         on_result,
+        WATCH_TIMEOUT,
         clock,
         sleep,
     ).run()
@@ -135,6 +138,31 @@
     assert results == [(True, "t"), (False, "t: unavailable after 2500 ms ")]
 
 
+def test_retry_does_not_let_the_store_wait(clock):
+    answer = Ok(RowsPage((), 5))
+    store = ScriptedStore([answer], [UNAVAILABLE_RESULT, UNAVAILABLE_RESULT, answer])
+    follow(store, FakeSleep(3), clock)
+    assert store.watch_timeouts == [
+        WATCH_TIMEOUT,
+        timedelta(),
+        timedelta(),
+        WATCH_TIMEOUT,
+    ]
+
+
+@pytest.mark.parametrize("recovery_s", [2, 3, 6])
+def test_lost_answer_is_noticed_within_the_recovery_time(recovery_s):
+    recovery_time, call_timeout = timedelta(seconds=recovery_s), timedelta(seconds=1)
+    timeout = compute_watch_timeout(recovery_time, call_timeout)
+    assert timeout > timedelta()
+    assert timeout + call_timeout < recovery_time
+
+
+def test_a_short_recovery_time_does_not_make_the_calls_continuous():
+    timeout = compute_watch_timeout(timedelta(), timedelta(seconds=1))
+    assert timeout >= timedelta(milliseconds=500)
+
+
 @pytest.fixture
 def publish_record(store):
     """Return a function that publishes a record and returns the stored rows."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -23,7 +23,7 @@
 limits.memoryLimitMb=300
 limits.maxOpenFiles=4100
 platform.readsPerS=2000
-bounds=drainTimeoutS=2,gracePeriodS=6,retryBudgetRatio=0.2,retryWindowS=10,budgetSlack=49
+bounds=drainTimeoutS=2,gracePeriodS=6,retryBudgetRatio=0.2,retryWindowS=10,budgetSlack=49,stableWindowS=3
 upstreamAddress=10.1.0.8:8301
 platform.address=10.200.1.7:8309
 fieldOfALaterVersion=x
@@ -37,6 +37,7 @@
     assert settings.target == ("10.1.0.8", 8301)
     assert settings.store == ("10.200.1.7", 8309)
     assert settings.grace_period == timedelta(seconds=6)
+    assert settings.store_recovery_time == timedelta(seconds=3)
     assert settings.drain_timeout == timedelta(seconds=2)
     assert settings.retry_budget_slack == 49
     assert settings.memory_bytes == 300 * 1024 * 1024
