--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -20,6 +21,7 @@
 CALLER = ("127.0.0.200", 0)  # not the address of any target
 POST = {"routeType": "non_idempotent"}
 _PORTS = itertools.count(21000)
+_CALL_INTERVAL_S = 0.04
 
 
 def free_port(host: str) -> int:
@@ -260,6 +262,22 @@
     return [share["service"] for share in shares]
 
 
+def call_for(seconds: float, *members: MeshMember) -> list[CallerResponse]:
+    """Call through each of the members 25 times a second; return the responses."""
+    numbers = itertools.count()
+    deadline = time.monotonic() + seconds
+
+    def call(member: MeshMember) -> list[CallerResponse]:
+        responses = []
+        while time.monotonic() < deadline:
+            responses.append(member.call(attempt=f"a{next(numbers)}"))
+            time.sleep(_CALL_INTERVAL_S)
+        return responses
+
+    with ThreadPoolExecutor(len(members)) as executor:
+        return list(itertools.chain(*executor.map(call, members)))
+
+
 def accepts_connections(address) -> bool:
     """Return whether an address accepts connections."""
     try:
--- a/tests/mesh/target_standin.py
+++ b/tests/mesh/target_standin.py
@@ -19,14 +19,17 @@
 
     `script` replaces the handling of requests: it is called with the connection and
     the request, and returns the bytes to send, or None to close the connection.
-    `delay` is in seconds.
+    `delay` is in seconds. `header_lines` are added to each response, each of them with
+    its line end.
     """
 
     instance: str = "i-1"
     host: str = "127.0.0.1"
     script: Callable | None = None
     delay: float = 0.0
+    header_lines: bytes = b""
     executed: list = field(default_factory=list)
+    executed_at: list[float] = field(default_factory=list)
     aborted: list = field(default_factory=list)
     active: int = 0
     peak: int = 0
@@ -89,6 +92,7 @@
             return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
         with self._lock:
             self.executed.append(request)
+            self.executed_at.append(time.monotonic())
             self.active += 1
             self.peak = max(self.peak, self.active)
         deadline = time.monotonic() + self.delay
@@ -101,7 +105,7 @@
         finally:
             with self._lock:
                 self.active -= 1
-        return make_response(request, body)
+        return make_response(request, body, header_lines=self.header_lines)
 
     def _is_disconnected(self, sock: socket.socket) -> bool:
         try:
@@ -112,10 +116,13 @@
             return True
 
 
-def make_response(request, body: bytes, status: bytes = b"200 OK") -> bytes:
+def make_response(
+    request, body: bytes, status: bytes = b"200 OK", header_lines: bytes = b""
+) -> bytes:
     """Return a signed response that carries the attempt header of the request."""
     attempt = find_header(request.headers, b"x-attempt-id") or b""
     return (
         b"HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Upstream-Signature: s-%s\r\n"
-        b"Content-Length: %d\r\n\r\n%s" % (status, attempt, attempt, len(body), body)
+        b"%sContent-Length: %d\r\n\r\n%s"
+        % (status, attempt, attempt, header_lines, len(body), body)
     )
