Keep the calls to a target within the limit that it names

Cause: the header that names the limit was read by nobody. A target's node bounded how many calls run at once, by the slots, and not how many are sent a second. Class of fault: what a target says of its own need is passed on to callers and not acted on.

Change: the node beside the target, through which all calls to it pass, counts them by a token bucket and refuses as not run what is beyond. A target out of tokens reports itself as full, so others are selected.

--- a/setup.py
+++ b/setup.py
@@ -36,6 +36,7 @@
     "mesh/peer_server",
     "mesh/placement",
     "mesh/rank",
+    "mesh/rate_limit",
     "mesh/report",
     "mesh/response_size",
     "mesh/target_proxy",
--- a/src/cyclamenvane/mesh/gate.py
+++ b/src/cyclamenvane/mesh/gate.py
@@ -116,12 +116,16 @@
             self._queue.add(waiting)
         return self._wait_for_slot(waiting, signal, watch)
 
-    def release(self, duration: timedelta) -> None:
-        """Record the end of an admitted call and its duration at the target."""
+    def release(self, duration: timedelta | None) -> None:
+        """Record the end of an admitted call and its duration at the target.
+
+        `duration` is None for a call that was not sent.
+        """
         with self._lock:
             self._in_flight -= 1
             assert self._in_flight >= 0, "release() without an admitted call"
-            self._mean_duration += (duration - self._mean_duration) * _SMOOTHING
+            if duration is not None:
+                self._mean_duration += (duration - self._mean_duration) * _SMOOTHING
             self._admit_queued()
 
     def _wait_for_slot(
--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -41,7 +41,10 @@
 
 @dataclass(frozen=True)
 class HeaderNames:
-    """Names of the headers that identify and limit a call, in lower case."""
+    """Names of the headers that identify and limit calls, in lower case.
+
+    Targets send `rate_limit`: how many calls a second they take from all nodes.
+    """
 
     attempt: bytes
     remaining_ms: bytes
@@ -50,6 +53,7 @@
     signature: bytes
     not_run: bytes
     instance: bytes
+    rate_limit: bytes
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -189,9 +189,8 @@
         for acceptor in self._acceptors:
             acceptor.start()
         self.executor.submit(self._idle_poller.run)
-        for task in self.store_client.tasks():
+        for task in (*self.store_client.tasks(), self.peer_sync.run):
             self.executor.submit(task)
-        self.executor.submit(self.peer_sync.run)
 
     def stop(self) -> bool:
         """Drain the calls in progress; return whether all have ended.
@@ -342,6 +341,7 @@
         set_gauge("waiting", load.waiting)
         set_gauge("limit", load.limit)
         set_gauge("level", self.gate.level())
+        set_gauge("rate_limit", self.target_proxy.rate_limit.rate())
         set_gauge("configuration_version", self.configuration.version())
         set_gauge("parked_connections", self._idle_poller.count())
         set_gauge("nodes_known", len(self.directory.peers()) + 1)
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -15,7 +15,8 @@
 from .forward import ForwardRequest, ForwardResult, Load, Reason, Verdict
 from .gate import Gate
 from .heads import HeaderNames, find_header, render_response_head
-from .rank import ActiveCall, ActiveCalls
+from .rank import ActiveCall, ActiveCalls, Rank
+from .rate_limit import RateLimit
 from .upstream import ExchangeOutcome, ExchangeResult, Upstream
 from .watch import Watch
 
@@ -23,6 +24,7 @@
     from ..clock import Clock
     from .log import CallLog
     from .metric import Metrics
+    from .model import Incarnation
     from .registration import Registration
 
 __all__ = ["TargetProxy"]
@@ -62,6 +64,8 @@
         # so that they forward nothing more, `closed` makes this node refuse requests.
         self.leaving = False
         self.closed = False
+        self.rate_limit = RateLimit(clock)
+        self._limited_incarnation: Incarnation | None = None
 
     def load(self, active_call: ActiveCall | None = None) -> Load:
         """Return the load to report to other nodes.
@@ -71,8 +75,12 @@
         """
         gate = self._gate.load()
         level = self._gate.level()
+        in_flight = gate.in_flight + gate.waiting
+        if self.rate_limit.is_exhausted():
+            # Other nodes select other targets, as they do when all slots are taken.
+            in_flight = max(in_flight, gate.limit)
         return Load(
-            gate.in_flight + gate.waiting,
+            in_flight,
             gate.limit,
             min(level, active_call.lowest_level()) if active_call else level,
             self._get_version(),
@@ -133,6 +141,14 @@
                 return _not_run(Reason.CALLER_GONE)
             retry_after = max(_MIN_RETRY_AFTER, 2 * self._gate.expected_wait())
             return replace(_not_run(Reason.NO_ROOM), retry_after=retry_after)
+        wait = self._apply_rate_limit(request.rank)
+        if wait:
+            self._gate.release(None)
+            detail = f"the target takes {self.rate_limit.rate()} calls a second"
+            retry_after = max(_MIN_RETRY_AFTER, wait)
+            return replace(
+                _not_run(Reason.NO_ROOM), retry_after=retry_after, detail=detail
+            )
         started = self._clock.monotonic()
         try:
             if admission.caller_gone:
@@ -141,6 +157,13 @@
         finally:
             self._gate.release(self._clock.monotonic() - started)
 
+    def _apply_rate_limit(self, rank: Rank) -> timedelta:
+        incarnation = self._registration.serving_incarnation()
+        if incarnation != self._limited_incarnation:
+            self._limited_incarnation = incarnation
+            self.rate_limit.reset()
+        return self.rate_limit.take(rank)
+
     def _send(
         self, request: ForwardRequest, deadline: timedelta, watch: Watch
     ) -> ForwardResult:
@@ -172,6 +195,9 @@
         return self._classify_exchange(exchange)
 
     def _classify_exchange(self, exchange: ExchangeResult) -> ForwardResult:
+        if exchange.outcome is ExchangeOutcome.ANSWERED:
+            names = self._header_names
+            self.rate_limit.update(find_header(exchange.headers, names.rate_limit))
         if exchange.outcome is ExchangeOutcome.NOT_SENT:
             return replace(_not_run(Reason.NO_TARGET), detail=exchange.detail)
         if exchange.outcome is ExchangeOutcome.CALLER_GONE:
--- a/src/cyclamenvane/platform/headers.py
+++ b/src/cyclamenvane/platform/headers.py
@@ -24,6 +24,8 @@
     # The target has not run the request and will not.
     not_run=b"x-not-executed",
     instance=b"x-instance-id",
+    # Sent by a target in need, for as long as the limit holds.
+    rate_limit=b"server-limit",
 )
 
 
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -99,6 +99,18 @@
     assert order == [Rank(10, 1), Rank(200, 2), Rank(200, 0), Rank(300, 2)]
 
 
+def test_call_that_was_not_sent_does_not_count_as_a_short_one(gate):
+    for duration in (timedelta(seconds=1), timedelta(seconds=1), None):
+        gate.acquire(Rank(0, 0), CLOCK.monotonic() + LATE, make_watch())
+        gate.release(duration)
+    for _ in range(3):
+        gate.acquire(Rank(0, 0), CLOCK.monotonic() + LATE, make_watch())
+    before = gate.expected_wait()
+    gate.release(None)
+    gate.acquire(Rank(0, 0), CLOCK.monotonic() + LATE, make_watch())
+    assert gate.expected_wait() == before > timedelta()
+
+
 def test_level_falls_during_overload_and_recovers(clock, watch):
     gate = Gate(clock)
     gate.resize(16)
--- a/tests/mesh/test_message.py
+++ b/tests/mesh/test_message.py
@@ -14,7 +14,14 @@
 from cyclamenvane.mesh.model import CallerLimits
 
 NAMES = HeaderNames(
-    b"x-id", b"x-left", b"x-need", b"x-origin", b"x-sig", b"x-not-run", b"x-inst"
+    b"x-id",
+    b"x-left",
+    b"x-need",
+    b"x-origin",
+    b"x-sig",
+    b"x-not-run",
+    b"x-inst",
+    b"x-rate",
 )
 GET = b"GET /items/1?q=2 HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\n\r\n"
 
--- a/tests/mesh/test_target_limit.py
+++ b/tests/mesh/test_target_limit.py
@@ -47,3 +47,15 @@
         (503, True)
     }
     assert len(times) >= LIMIT_PER_S * STABLE_WINDOW_S
+
+
+def test_calls_beyond_the_limit_of_a_target_go_to_another_one(mesh):
+    entry = mesh.add("desk", "a")
+    limited, other = mesh.add("stock", "a"), mesh.add("stock", "b")
+    mesh.configure(route())
+    mesh.wait_until_converged()
+    limited.target.header_lines = b"Server-Limit: 2\r\n"
+    responses = call_for(3.0, entry)
+    assert {each.status for each in responses} == {200}
+    assert 0 < len(limited.target.executed) <= 1.5 * 2 * WINDOW_S + 5
+    assert len(other.target.executed) > len(limited.target.executed)
