Send no calls to a target that says in a response that it leaves

Cause: leaving was known from heartbeats and deregistrations only; the header of responses was passed on to callers and not acted on. The same class of fault as the limit that a target names.

Change: the node beside the target treats such a response as an announcement of that incarnation, which a healthy heartbeat does not revoke; it publishes and reports it as before. A node where calls begin does not select a leaving target after the drain timeout either, as the node beside it may be frozen and send late what it has received.

--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -31,7 +31,12 @@
 class Peer:
     """One node, its load, and the results of recent calls to it."""
 
-    def __init__(self, record: NodeRecord, clock: Clock) -> None:
+    def __init__(
+        self,
+        record: NodeRecord,
+        clock: Clock,
+        fallback_time: timedelta = timedelta.max,
+    ) -> None:
         self.record = record
         self.in_flight = 0
         self.faults = 0.0
@@ -41,7 +46,9 @@
         self._sent_since_load = 0
         self._backoff = timedelta()
         self._backoff_until = timedelta()
+        self._fallback_time = fallback_time
         self._leaving_session = 0
+        self._leaving_since = timedelta()
         self._not_serving_until = timedelta()
 
     def update_record(self, record: NodeRecord) -> None:
@@ -79,10 +86,14 @@
     def is_usable_as_fallback(self, now: timedelta) -> bool:
         """Return whether calls may be sent if no other target is usable.
 
-        A node or a target that is shutting down still serves calls for a moment.
+        A node or a target that is shutting down still serves calls for a moment. Its
+        own node refuses them afterwards, but it may be slow to do so.
         """
         if self.record.incarnation is None or now < self._not_serving_until:
             return False
+        if self._leaving_session == self.record.session:
+            if now - self._leaving_since >= self._fallback_time:
+                return False
         return now >= self._backoff_until
 
     def is_unreachable(self) -> bool:
@@ -99,7 +110,11 @@
         self._load_received_at = self._clock.monotonic()
         self._sent_since_load = 0
         self._backoff = timedelta()
-        self._leaving_session = self.record.session if load.leaving else 0
+        if not load.leaving:
+            self._leaving_session = 0
+        elif self._leaving_session != self.record.session:
+            self._leaving_session = self.record.session
+            self._leaving_since = self._load_received_at
 
     def record_sent(self) -> None:
         """Count a call that is being sent."""
@@ -143,11 +158,21 @@
 
 
 class PeerDirectory:
-    """All known nodes except the local one, by name and by service."""
-
-    def __init__(self, local_node: str, clock: Clock) -> None:
+    """All known nodes except the local one, by name and by service.
+
+    A node whose target is leaving is used for `fallback_time` at most after it has
+    reported that, if no other target is usable.
+    """
+
+    def __init__(
+        self,
+        local_node: str,
+        clock: Clock,
+        fallback_time: timedelta = timedelta.max,
+    ) -> None:
         self._local_node = local_node
         self._clock = clock
+        self._fallback_time = fallback_time
         self._peers: dict[str, Peer] = {}
         self._peers_by_service: dict[str, list[Peer]] = {}
         self._lock = threading.Lock()
@@ -159,7 +184,9 @@
         with self._lock:
             peer = self._peers.get(record.node)
             if peer is None:
-                self._peers[record.node] = Peer(record, self._clock)
+                self._peers[record.node] = Peer(
+                    record, self._clock, self._fallback_time
+                )
             elif not _supersedes(record, peer.record):
                 return False
             else:
--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -43,7 +43,8 @@
 class HeaderNames:
     """Names of the headers that identify and limit calls, in lower case.
 
-    Targets send `rate_limit`: how many calls a second they take from all nodes.
+    Targets send `rate_limit`, how many calls a second they take from all nodes, and
+    `leaving` with the value 1 once they are about to end.
     """
 
     attempt: bytes
@@ -54,6 +55,7 @@
     not_run: bytes
     instance: bytes
     rate_limit: bytes
+    leaving: bytes
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -87,7 +87,7 @@
             clock,
             self._on_target_change,
         )
-        self.directory = PeerDirectory(settings.node, clock)
+        self.directory = PeerDirectory(settings.node, clock, settings.drain_timeout)
         self._levels = RouteLevels(clock)
         self._active_calls = ActiveCalls()
         self._peers = PeerPool(clock)
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -10,7 +10,7 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -33,18 +33,21 @@
     """The newest heartbeat, and whether the target has announced its shutdown.
 
     `deregistered` is set by the target's deregistration (DELETE) or by
-    `restore_deregistration`. `accepts_calls_until` is the monotonic time until which a
-    target that has announced its shutdown still gets calls.
+    `restore_deregistration`, `leaving` by a response. `accepts_calls_until` is the
+    monotonic time until which a target that has announced its shutdown still gets
+    calls.
     """
 
     heartbeat: Heartbeat
     deregistered: bool
     accepts_calls_until: timedelta = timedelta()
+    leaving: bool = False
 
     @property
     def serving(self) -> bool:
-        """Whether the target is neither deregistered nor draining."""
-        return not self.deregistered and not self.heartbeat.draining
+        """Whether the target has not announced its shutdown in any way."""
+        announced = self.deregistered or self.leaving or self.heartbeat.draining
+        return not announced
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,15 +116,32 @@
             if detail:
                 return HeartbeatResult(False, detail)
             before = self._state
-            until = timedelta()
+            until, leaving = timedelta(), False
+            if before is not None and (
+                before.heartbeat.incarnation == heartbeat.incarnation
+            ):
+                # A healthy heartbeat does not revoke what a response said.
+                until, leaving = before.accepts_calls_until, before.leaving
             if heartbeat.draining:
                 until = self._compute_accepts_calls_until(heartbeat.incarnation)
                 self._add_announced_shutdown(heartbeat.incarnation)
-            self._state = TargetState(heartbeat, False, until)
+            self._state = TargetState(heartbeat, False, until, leaving)
         if before is None or _is_relevant_change(before, self._state):
             self._on_change(self._state)
         return HeartbeatResult(True)
 
+    def handle_leaving_response(self, incarnation: Incarnation) -> None:
+        """Apply a response in which the target says that it is leaving."""
+        with self._lock:
+            state = self._state
+            if state is None or state.heartbeat.incarnation != incarnation:
+                return
+            if not state.serving:
+                return
+            until = self._compute_accepts_calls_until(incarnation)
+            self._state = replace(state, accepts_calls_until=until, leaving=True)
+        self._on_change(self._state)
+
     def handle_deregistration(self, instance: str) -> bool:
         """Apply the deregistration of a target; return whether it was known."""
         with self._lock:
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -192,12 +192,15 @@
             watch,
             deadline + _RESPONSE_MARGIN,
         )
+        if exchange.outcome is ExchangeOutcome.ANSWERED:
+            self.rate_limit.update(
+                find_header(exchange.headers, header_names.rate_limit)
+            )
+            if find_header(exchange.headers, header_names.leaving) == b"1":
+                self._registration.handle_leaving_response(incarnation)
         return self._classify_exchange(exchange)
 
     def _classify_exchange(self, exchange: ExchangeResult) -> ForwardResult:
-        if exchange.outcome is ExchangeOutcome.ANSWERED:
-            names = self._header_names
-            self.rate_limit.update(find_header(exchange.headers, names.rate_limit))
         if exchange.outcome is ExchangeOutcome.NOT_SENT:
             return replace(_not_run(Reason.NO_TARGET), detail=exchange.detail)
         if exchange.outcome is ExchangeOutcome.CALLER_GONE:
--- a/src/cyclamenvane/platform/headers.py
+++ b/src/cyclamenvane/platform/headers.py
@@ -26,6 +26,8 @@
     instance=b"x-instance-id",
     # Sent by a target in need, for as long as the limit holds.
     rate_limit=b"server-limit",
+    # Sent by a target in all responses once it is leaving.
+    leaving=b"server-leaving",
 )
 
 
--- a/tests/mesh/test_message.py
+++ b/tests/mesh/test_message.py
@@ -22,6 +22,7 @@
     b"x-not-run",
     b"x-inst",
     b"x-rate",
+    b"x-leaving",
 )
 GET = b"GET /items/1?q=2 HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\n\r\n"
 
--- a/tests/mesh/test_placement.py
+++ b/tests/mesh/test_placement.py
@@ -157,3 +157,18 @@
     assert not peer.is_usable(now) and peer.is_usable_as_fallback(now)
     peer.record_not_serving()
     assert not peer.is_usable_as_fallback(now)
+
+
+def test_leaving_target_is_no_fallback_after_the_drain_timeout(clock):
+    """Its own node may be frozen, and would send a call that it received before."""
+    directory = PeerDirectory("own", clock, timedelta(seconds=2))
+    directory.apply(make_record())
+    (peer,) = directory.peers()
+    peer.update_load(Load(0, 16, 512, 1, leaving=True))
+    clock.advance(1.5)
+    peer.update_load(Load(0, 16, 512, 1, leaving=True))
+    assert peer.is_usable_as_fallback(clock.monotonic())
+    clock.advance(0.6)
+    assert not peer.is_usable_as_fallback(clock.monotonic())
+    directory.apply(make_record(incarnation=Incarnation(2000, "i-2")))
+    assert peer.is_usable(clock.monotonic())
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -136,3 +136,35 @@
     """An earlier session may have got the announcement at an unknown time."""
     registration.handle_heartbeat(make_heartbeat(sequence=9, draining=True))
     assert registration.serving_incarnation() is None
+
+
+def test_target_that_says_in_a_response_that_it_leaves_gets_calls_for_a_moment(
+    registration, changes, clock
+):
+    heartbeat = make_heartbeat()
+    registration.handle_heartbeat(heartbeat)
+    registration.handle_leaving_response(heartbeat.incarnation)
+    registration.handle_leaving_response(heartbeat.incarnation)
+    assert not registration.is_serving() and len(changes) == 2
+    assert registration.serving_incarnation() == heartbeat.incarnation
+    clock.advance(DRAIN.total_seconds())
+    # Neither a healthy heartbeat nor the announcement gives it more time.
+    for sequence, draining in ((5, False), (6, True)):
+        later = make_heartbeat(sequence=sequence, draining=draining)
+        assert registration.handle_heartbeat(later).accepted
+        assert registration.serving_incarnation() is None
+    assert registration.refusal_reason() is Reason.LEAVING
+
+
+def test_response_of_an_earlier_incarnation_does_not_concern_the_next_one(
+    registration,
+):
+    registration.handle_heartbeat(make_heartbeat())
+    successor = Incarnation(2000, "i-2")
+    registration.handle_heartbeat(make_heartbeat(incarnation=successor))
+    registration.handle_leaving_response(Incarnation(1000, "i-1"))
+    assert registration.is_serving()
+    registration.handle_leaving_response(successor)
+    third = Incarnation(3000, "i-3")
+    registration.handle_heartbeat(make_heartbeat(incarnation=third))
+    assert registration.is_serving()
