--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -70,7 +70,7 @@
         self.replica = StoreReplica(
             {
                 adapter.configuration_table: TableCallbacks(
-                    lambda changes: self.apply_configurations(changes),
+                    lambda changes, version: self.apply_configurations(changes),
                     lambda change: self.apply_configurations([change]),
                 ),
                 NODES_TABLE: TableCallbacks(
@@ -160,8 +160,8 @@
             else:
                 self._configuration.apply(decoded.ok, "rows")
 
-    def apply_node_snapshot(self, changes: list[RowChange]) -> None:
-        """Apply the records of all nodes, and remove nodes without one."""
+    def apply_node_snapshot(self, changes: list[RowChange], version: int) -> None:
+        """Apply the records of all nodes as of a version; remove nodes without one."""
         found = {change.key for change in changes}
         for change in changes:
             self._apply_node_change(change)
@@ -171,7 +171,7 @@
             if peer.record.node not in found:
                 self._directory.remove(peer.record.node)
         if self._get_settings().node not in found:
-            self._request_publication()
+            self._request_publication(version)
 
     def _restore_deregistration(self, row: StoredRow) -> None:
         # An earlier session of the node may have recorded the target's shutdown.
@@ -179,15 +179,15 @@
         if record is not None and record.leaving and record.incarnation is not None:
             self._registration.restore_deregistration(record.incarnation)
 
-    def _request_publication(self) -> None:
+    def _request_publication(self, missing_at: int) -> None:
         # Before the first heartbeat of the target there is nothing to publish.
         if self._registration.state() is not None:
-            self._publisher.request_rewrite()
+            self._publisher.request_rewrite(missing_at)
 
     def _apply_node_change(self, change: RowChange) -> None:
         if change.row is None:
             if change.key == self._get_settings().node:
-                self._request_publication()
+                self._request_publication(change.version)
             if self._directory.remove(change.key):
                 eliot.log_message("node:removed", node=change.key)
             return
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -44,8 +44,13 @@
         if self._row_version is None:
             self._row_version = version
 
-    def request_rewrite(self) -> None:
-        """Request a write of the record although it has not changed."""
+    def request_rewrite(self, missing_at: int) -> None:
+        """Request a write of the record, which the store had not at a version.
+
+        It may have been written since then.
+        """
+        if self._row_version is not None and missing_at < self._row_version:
+            return
         self._row_version = self._written = None
         self._write_requested.set()
 
--- a/src/cyclamenvane/mesh/replica.py
+++ b/src/cyclamenvane/mesh/replica.py
@@ -22,11 +22,12 @@
 class TableCallbacks:
     """What is called with a table's rows, in the order of the updates.
 
-    `on_snapshot` gets all rows, after some changes may have been missed; `on_change`
-    each change of a row. Neither may call the replica.
+    `on_snapshot` gets all rows and the version that they are as of, after some changes
+    may have been missed; `on_change` gets each change of a row. Neither may call the
+    replica.
     """
 
-    on_snapshot: Callable[[list[RowChange]], None]
+    on_snapshot: Callable[[list[RowChange], int], None]
     on_change: Callable[[RowChange], None]
 
 
@@ -128,7 +129,7 @@
         for _ in self._store_newer(update.changes, update.version):
             pass
         rows = [change for change in self._changes.values() if change.row]
-        self._callbacks.on_snapshot(rows)
+        self._callbacks.on_snapshot(rows, update.version)
 
     def _store_newer(
         self, changes: Iterable[RowChange], version: int
--- a/tests/mesh/test_lifecycle.py
+++ b/tests/mesh/test_lifecycle.py
@@ -129,7 +129,9 @@
     page = RowsClient(mesh.store.address, timedelta(seconds=1)).read(
         "cyclamenvane-nodes", "a"
     )
-    restarted.store_client.discovery.apply_node_snapshot(list(page.ok.changes))
+    restarted.store_client.discovery.apply_node_snapshot(
+        list(page.ok.changes), page.ok.version
+    )
     late = make_heartbeat(
         incarnation=Incarnation(member.born, member.target.instance),
         address=member.target.address,
--- a/tests/mesh/test_replica.py
+++ b/tests/mesh/test_replica.py
@@ -30,7 +30,7 @@
         self.rows = {}
         self.replica = StoreReplica({"t": TableCallbacks(self._replace, self._change)})
 
-    def _replace(self, changes):
+    def _replace(self, changes, version):
         self.rows = {each.key: each.version for each in changes}
 
     def _change(self, change):
--- a/tests/mesh/test_subscription.py
+++ b/tests/mesh/test_subscription.py
@@ -71,7 +71,7 @@
 def follow(store, sleep, clock, on_result=lambda reached, detail: None):
     received = []
     callbacks = TableCallbacks(
-        lambda rows: received.append([row.key for row in rows]),
+        lambda rows, version: received.append([row.key for row in rows]),
         lambda row: received.append(row.key),
     )
     store_watch = StoreWatch(["t"], clock)
@@ -187,7 +187,7 @@
 
 def test_a_lost_answer_does_not_undo_a_newer_record(publish_record, store):
     publisher, _ = publish_record(make_record("n", session=1))
-    publisher.request_rewrite()  # an unchanged record would not be written
+    publisher.request_rewrite(store.version)  # an unchanged record would not be written
     store.lose_responses = True
     assert not publisher._write()
     store.lose_responses = False
@@ -199,6 +199,18 @@
     assert store.calls.count("/api/rows-tx") == 1
 
 
+def test_record_written_after_an_older_snapshot_is_not_written_again(
+    publish_record, store
+):
+    publisher, _ = publish_record(make_record("n"))
+    publisher.request_rewrite(store.version - 1)
+    assert publisher._write()
+    assert store.calls.count("/api/rows-tx") == 1
+    publisher.request_rewrite(store.version)
+    assert publisher._write()
+    assert store.calls.count("/api/rows-tx") == 2
+
+
 def test_known_row_version_saves_the_read(store):
     client = RowsClient(store.address, timedelta(seconds=1))
     publisher = RecordPublisher(client, lambda: make_record("n"), FakeSleep(9))
