Read and change the rate limit under one lock

Found by reading the change: a call that checked the limit while a response withdrew it divided by zero, and its caller's connection would have been closed.

The limit is checked under the lock, and a permitted call returns None instead of a wait of zero, which a wait shorter than a microsecond could not be told from.

--- a/src/cyclamenvane/mesh/rate_limit.py
+++ b/src/cyclamenvane/mesh/rate_limit.py
@@ -45,11 +45,12 @@
 
     def reset(self) -> None:
         """Forget the limit: the target is a new incarnation."""
-        self._rate = 0.0
-        self._tokens = 0.0
-        self._updated_at = self._named_at = self._clock.monotonic()
-        self._answered = False
-        self._sent_unanswered = 0
+        with self._lock:
+            self._rate = 0.0
+            self._tokens = 0.0
+            self._updated_at = self._named_at = self._clock.monotonic()
+            self._answered = False
+            self._sent_unanswered = 0
 
     def rate(self) -> float:
         """Return the limit in calls a second, 0 without one."""
@@ -61,68 +62,70 @@
             return False
         with self._lock:
             self._refill()
-            return self._tokens < 1
+            return self._rate > 0 and self._tokens < 1
 
-    def take(self, rank: Rank) -> timedelta:
-        """Count a call that is about to be sent, if the limit permits it.
+    def take(self, rank: Rank) -> timedelta | None:
+        """Count a call that is about to be sent and return None.
 
-        Otherwise return after what time it may, if no other call comes before it.
+        If the limit does not permit the call, return after what time it may be sent,
+        provided that no other call comes before it.
         """
-        if not self._rate:
-            self._sent_unanswered += 1
-            return timedelta()
         with self._lock:
+            if not self._rate:
+                self._sent_unanswered += 1
+                return None
             self._refill()
-            reserve = 0.0 if rank.depth else (self._burst() - 1) * rank.root / RANKS
+            burst = _compute_burst(self._rate)
+            reserve = 0.0 if rank.depth else (burst - 1) * rank.root / RANKS
             missing = 1 + reserve - self._tokens
             if missing > 0:
                 return missing / self._rate * _SECOND
             self._tokens -= 1
-            return timedelta()
+            return None
 
     def update(self, named: bytes | None) -> None:
         """Apply the limit that a response names, None if it names none."""
         rate = _parse_rate(named)
-        if not rate and not self._rate:
-            self._answered = True
-            return
         with self._lock:
-            self._refill()
-            now = self._clock.monotonic()
             if rate:
-                self._named_at = now
                 self._set_rate(rate)
-            elif now - self._named_at >= _HOLD_TIME:
+            elif self._rate and self._clock.monotonic() - self._named_at >= _HOLD_TIME:
                 self._rate = 0.0
                 eliot.log_message("target:limit_withdrawn")
             self._answered = True
 
     def _set_rate(self, rate: float) -> None:
+        self._refill()
+        self._named_at = self._updated_at
+        burst = _compute_burst(rate)
         if not self._rate:
             eliot.log_message("target:limit_named", calls_per_s=rate)
-            self._rate, self._tokens = rate, self._burst(rate)
+            self._tokens = burst
             if not self._answered:
-                # The limit may be older than this process or this connection to the
-                # target, so the calls that were sent without knowing it count.
-                debt = _MAX_DEBT_TIME / _SECOND * rate
-                self._tokens = max(-debt, self._tokens - self._sent_unanswered)
+                # The target may have named the limit before this process started, so
+                # the calls that were sent without knowing it count.
+                max_debt = _MAX_DEBT_TIME / _SECOND * rate
+                self._tokens = max(-max_debt, burst - self._sent_unanswered)
         self._rate = rate
-        self._tokens = min(self._tokens, self._burst(rate))
-
-    def _burst(self, rate: float = 0.0) -> float:
-        return _MIN_BURST + _BURST_TIME / _SECOND * (rate or self._rate)
+        self._tokens = min(self._tokens, burst)
 
     def _refill(self) -> None:
         now = self._clock.monotonic()
         earned = (now - self._updated_at) / _SECOND * self._rate
-        self._tokens = min(self._tokens + earned, self._burst())
+        self._tokens = min(self._tokens + earned, _compute_burst(self._rate))
         self._updated_at = now
 
 
+def _compute_burst(rate: float) -> float:
+    return _MIN_BURST + _BURST_TIME / _SECOND * rate
+
+
 def _parse_rate(named: bytes | None) -> float:
     """Return the rate that a header names, 0 if there is none or it is not a rate."""
+    if named is None:
+        return 0.0
     try:
-        rate = float(named or b"nan")
+        rate = float(named)
     except ValueError:
         return 0.0
     if not math.isfinite(rate) or rate < 0:
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -142,7 +142,7 @@
             retry_after = max(_MIN_RETRY_AFTER, 2 * self._gate.expected_wait())
             return replace(_not_run(Reason.NO_ROOM), retry_after=retry_after)
         wait = self._apply_rate_limit(request.rank)
-        if wait:
+        if wait is not None:
             self._gate.release(None)
             detail = f"the target takes {self.rate_limit.rate()} calls a second"
             retry_after = max(_MIN_RETRY_AFTER, wait)
@@ -157,7 +157,7 @@
         finally:
             self._gate.release(self._clock.monotonic() - started)
 
-    def _apply_rate_limit(self, rank: Rank) -> timedelta:
+    def _apply_rate_limit(self, rank: Rank) -> timedelta | None:
         incarnation = self._registration.serving_incarnation()
         if incarnation != self._limited_incarnation:
             self._limited_incarnation = incarnation
--- a/tests/mesh/test_rate_limit.py
+++ b/tests/mesh/test_rate_limit.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
@@ -33,7 +35,7 @@
 
 
 def take_all(limit, rank=NESTED, tries=200):
-    return sum(not limit.take(rank) for _ in range(tries))
+    return sum(limit.take(rank) is None for _ in range(tries))
 
 
 def test_target_without_a_limit_gets_every_call(clock):
@@ -78,7 +80,7 @@
     assert timedelta() < wait <= timedelta(seconds=1 / 20)
     clock.advance(wait.total_seconds() + 0.001)
     assert not limit.is_exhausted()
-    assert not limit.take(NESTED)
+    assert limit.take(NESTED) is None
 
 
 @pytest.mark.parametrize("rank", [FIRST, NESTED])
@@ -106,6 +108,25 @@
     assert take_all(limit) == 200
 
 
+def test_calls_go_on_while_the_limit_is_named_and_withdrawn(limit, clock):
+    """Takes and updates come from the tasks of different calls."""
+    stop = threading.Event()
+
+    def take_until_stopped():
+        while not stop.is_set():
+            limit.take(NESTED)
+            limit.is_exhausted()
+
+    with ThreadPoolExecutor(4) as executor:
+        tasks = [executor.submit(take_until_stopped) for _ in range(4)]
+        for _ in range(300):
+            limit.update(b"20")
+            clock.advance(1.0)
+            limit.update(None)
+        stop.set()
+        assert [task.result() for task in tasks] == [None] * 4
+
+
 def test_lower_limit_applies_at_once(limit):
     limit.update(b"4")
     assert take_all(limit) <= max_calls(4) - 4 * WINDOW_S
