Watch only the configuration with a short timeout

Only versions have a time in which they have to be in force.

Change: records are watched for 8 s again. A new target may be known 9 s late after a silence of the store, as before; nodes report leaving with the results of calls. The test of the timeouts is new; those of a silent store pass unchanged.

--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -16,7 +16,12 @@
 from .publication import NODES_TABLE, RecordPublisher, decode_record
 from .replica import StoreReplica, TableCallbacks
 from .rows import RowChange, RowStore, StoredRow
-from .subscription import Backoff, Subscription, compute_watch_timeout
+from .subscription import (
+    MAX_WATCH_TIMEOUT,
+    Backoff,
+    Subscription,
+    compute_watch_timeout,
+)
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -81,13 +86,22 @@
 
     def make_subscriptions(self) -> tuple[Subscription, ...]:
         """Return the tasks that follow the store while this node is a watcher."""
+        configuration_timeout = compute_watch_timeout(
+            self._get_settings().store_recovery_time, self._adapter.store_timeout
+        )
+        # Only versions have to be known in time: nodes report changes of their own
+        # records with the results of calls, too.
         return (
-            self._make_subscription(self._adapter.configuration_table, lambda: [""]),
-            self._make_subscription(NODES_TABLE, lambda: self._get_settings().zones),
+            self._make_subscription(
+                self._adapter.configuration_table, lambda: [""], configuration_timeout
+            ),
+            self._make_subscription(
+                NODES_TABLE, lambda: self._get_settings().zones, MAX_WATCH_TIMEOUT
+            ),
         )
 
     def _make_subscription(
-        self, table: str, parts: Callable[[], Sequence[str]]
+        self, table: str, parts: Callable[[], Sequence[str]], watch_timeout: timedelta
     ) -> Subscription:
         return Subscription(
             self._open_store(),
@@ -96,9 +110,7 @@
             self.replica,
             self._store_watch,
             self._on_store_result,
-            compute_watch_timeout(
-                self._get_settings().store_recovery_time, self._adapter.store_timeout
-            ),
+            watch_timeout,
             self._clock,
             self._sleep,
         )
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -24,13 +24,13 @@
     from .stop_event import Sleep
     from .store_watch import StoreWatch
 
-__all__ = ["Backoff", "Subscription", "compute_watch_timeout"]
+__all__ = ["MAX_WATCH_TIMEOUT", "Backoff", "Subscription", "compute_watch_timeout"]
 
 # Share of the store's recovery time for which a node may wait for an answer that has
 # been lost. The rest is for asking again and for passing the changes on.
 _MAX_SILENCE_SHARE = 0.8
 _MIN_WATCH_TIMEOUT = timedelta(milliseconds=500)
-_MAX_WATCH_TIMEOUT = timedelta(seconds=8)
+MAX_WATCH_TIMEOUT = timedelta(seconds=8)
 # Delay after a read that returned changes, so that the next one covers more of them.
 # The first change after a quiet time is read at once.
 _MIN_BATCH_DELAY = timedelta(milliseconds=60)
@@ -70,7 +70,7 @@
     `recovery_time` after a disruption.
     """
     timeout = recovery_time * _MAX_SILENCE_SHARE - call_timeout
-    return min(max(timeout, _MIN_WATCH_TIMEOUT), _MAX_WATCH_TIMEOUT)
+    return min(max(timeout, _MIN_WATCH_TIMEOUT), MAX_WATCH_TIMEOUT)
 
 
 class Subscription:
--- a/tests/mesh/test_relay.py
+++ b/tests/mesh/test_relay.py
@@ -88,6 +88,12 @@
     wait_until(lambda: list_followed() == expected, 10)
 
 
+def test_only_the_configuration_is_watched_with_a_short_timeout(zone):
+    wait_until(lambda: zone.store.waiting_feeds["op"] == 2, 12)
+    assert set(zone.store.watched["op"]) <= {1400, 0}
+    assert set(zone.store.watched["cyclamenvane-nodes"]) <= {8000, 0}
+
+
 def test_zone_gets_a_version_while_its_watcher_is_silently_cut_off(zone):
     def count_followers(table):
         return sum(
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -11,7 +11,7 @@
 import json
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -31,6 +31,7 @@
         self.silences = 0
         self.calls: list[str] = []
         self.waiting_feeds: Counter[str] = Counter()
+        self.watched: defaultdict[str, list[int]] = defaultdict(list)
         self._changed = threading.Condition()
         handler = type("Handler", (_Handler,), {"store": self})
         self._server = _Server(("127.0.0.1", 0), handler)
@@ -96,6 +97,7 @@
         after, deadline = int(query["after"]), time.monotonic()
         deadline += int(query["waitMs"]) / 1000
         with self._changed:
+            self.watched[query["table"]].append(int(query["waitMs"]))
             self.waiting_feeds[query["table"]] += 1
             try:
                 return self._wait_for_rows(query, after, deadline)
