Log the store's versions and epoch, and what is not applied

The logs of a restored store could not tell a dropped row from a configuration that is not newer. store:history_gone now has the version asked for and the store's epoch, store:read says what a complete read returned, store:row_ignored and configuration:ignored name what was received and what is known.

--- a/src/cyclamenvane/mesh/configuration.py
+++ b/src/cyclamenvane/mesh/configuration.py
@@ -64,11 +64,15 @@
         """
         table = _make_route_table(configuration)
         with self._lock:
-            if configuration.version <= self.version():
-                return False
-            self._table = table
-        self._on_change(configuration, source)
-        return True
+            known = self._table
+            newer = configuration.version > self.version()
+            if newer:
+                self._table = table
+        if newer:
+            self._on_change(configuration, source)
+        elif known is not None:
+            _report_ignored(configuration, known.configuration, source)
+        return newer
 
 
 def _make_route_table(configuration: Configuration) -> RouteTable:
@@ -82,6 +86,19 @@
     )
 
 
+def _report_ignored(
+    configuration: Configuration, in_force: Configuration, source: str
+) -> None:
+    if configuration.encoded == in_force.encoded:
+        return  # received again
+    eliot.log_message(
+        "configuration:ignored",
+        version=configuration.version,
+        in_force=in_force.version,
+        source=source,
+    )
+
+
 def report_configuration(
     metrics: Metrics, configuration: Configuration, source: str
 ) -> None:
--- a/src/cyclamenvane/mesh/replica.py
+++ b/src/cyclamenvane/mesh/replica.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+import eliot
+
 from .rows import RowChange
 
 __all__ = ["StoreReplica", "TableCallbacks", "TableUpdate"]
@@ -142,3 +144,15 @@
             if known is None or known.version < change.version:
                 self._changes[key] = change
                 yield change
+            elif change.row is not None and not _has_same_value(change, known):
+                eliot.log_message(
+                    "store:row_ignored",
+                    table=self._name,
+                    key=change.key,
+                    version=change.version,
+                    known_version=known.version,
+                )
+
+
+def _has_same_value(change: RowChange, known: RowChange) -> bool:
+    return known.row is not None and change.row.value == known.row.value
--- a/src/cyclamenvane/mesh/rows.py
+++ b/src/cyclamenvane/mesh/rows.py
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsError:
-    """A failed call, with a human-readable detail."""
+    """A failed call, with a human-readable detail.
+
+    `epoch` is the store's, 0 if it did not answer.
+    """
 
     failure: RowsFailure
     detail: str = ""
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +72,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsPage:
-    """Rows, and the store version up to which they are complete."""
+    """Rows, and the store version up to which they are complete.
+
+    `epoch` rises each time that the store is restored from an older copy.
+    """
 
     changes: tuple[RowChange, ...]
     version: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -119,6 +119,7 @@
     def _read_all(self) -> None:
         rows: list[RowChange] = []
         version: int | None = None
+        epoch = 0
         for part in self._parts():
             started_at = self._clock.monotonic()
             page = self._store.read(self._table, part)
@@ -128,7 +129,16 @@
             rows += page.ok.changes
             # With the first part's version, changes may repeat but none is missed.
             version = page.ok.version if version is None else version
+            epoch = page.ok.epoch
         self._history_gone = False
+        eliot.log_message(
+            "store:read",
+            table=self._table,
+            version=version,
+            epoch=epoch,
+            rows=len(rows),
+            known_version=self._replica.versions()[self._table],
+        )
         self._apply(True, tuple(rows), version or 0)
 
     def _watch_changes(self, version: int) -> None:
@@ -139,7 +149,12 @@
         page = self._store.watch(self._table, version, timeout)
         if page.is_error():
             if page.error.failure is RowsFailure.HISTORY_GONE:
-                eliot.log_message("store:history_gone", table=self._table)
+                eliot.log_message(
+                    "store:history_gone",
+                    table=self._table,
+                    version=version,
+                    epoch=page.error.epoch,
+                )
                 self._history_gone = True
             else:
                 self._handle_failure(page.error, started_at)
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -26,6 +26,7 @@
 __all__ = ["RowsClient"]
 
 _PAGE_ROWS = 500  # the store returns at most this many rows per response
+_EPOCH_HEADER = "Store-Era"
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # a page of rows has about 1 MB
 _FAILURE_BY_STATUS = {
     410: RowsFailure.HISTORY_GONE,
@@ -43,6 +44,7 @@
         self._address = address
         self._timeout = timeout.total_seconds()
         self._connection: http.client.HTTPConnection | None = None
+        self._epoch = 0
 
     def read(self, table: str, part: str) -> Result[RowsPage, RowsError]:
         """Return all rows of a part, at the returned version or a newer one."""
@@ -55,7 +57,7 @@
             result = self._call("GET", "/api/rows-get", query)
             if result.is_error():
                 return Error(result.error)
-            page = _decode_page(result.ok)
+            page = self._decode_page(result.ok)
             if page.is_error():
                 return Error(page.error)
             rows += [change.row for change in page.ok.changes if change.row]
@@ -65,7 +67,7 @@
                 break
             start = page.ok.changes[-1].key + "\0"
         changes = tuple(RowChange(row.part, row.key, row, row.version) for row in rows)
-        return Ok(RowsPage(changes, version))
+        return Ok(RowsPage(changes, version, self._epoch))
 
     def watch(
         self, table: str, after: int, wait: timedelta
@@ -73,7 +75,7 @@
         """Wait up to `wait` for changes to a table newer than version `after`."""
         milliseconds = int(wait.total_seconds() * 1000)
         query = {"table": table, "after": after, "waitMs": milliseconds}
-        return self._call("GET", "/api/rows-feed", query, wait).bind(_decode_page)
+        return self._call("GET", "/api/rows-feed", query, wait).bind(self._decode_page)
 
     def write(self, writes: Sequence[RowWrite]) -> Result[int, RowsError]:
         """Apply all writes to one part, or none; return the new version."""
@@ -117,19 +119,29 @@
             self.close()
             failure = RowsFailure.UNKNOWN if sent else RowsFailure.UNAVAILABLE
             return Error(RowsError(failure, repr(error)))
+        self._epoch = _parse_epoch(response.getheader(_EPOCH_HEADER))
         if len(data) > _MAX_RESPONSE_BYTES:
             self.close()
             return Error(RowsError(RowsFailure.UNKNOWN, "response too large"))
         if response.status != 200:
             failure = _FAILURE_BY_STATUS.get(response.status, RowsFailure.REJECTED)
             detail = data[:200].decode(errors="replace")
-            return Error(RowsError(failure, f"{response.status} {detail}"))
+            detail = f"{response.status} {detail}"
+            return Error(RowsError(failure, detail, self._epoch))
         try:
             return Ok(orjson.loads(data))
         except orjson.JSONDecodeError as error:
             self.close()
             return Error(RowsError(RowsFailure.UNKNOWN, repr(error)))
 
+    def _decode_page(self, document: dict[str, Any]) -> Result[RowsPage, RowsError]:
+        try:
+            changes = tuple(_decode_row(each) for each in document["rows"])
+            version = int(document["rowVersion"])
+        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+            return Error(RowsError(RowsFailure.REJECTED, repr(error)))
+        return Ok(RowsPage(changes, version, self._epoch))
+
     def _connect(self, timeout: float) -> http.client.HTTPConnection:
         if self._connection is None:
             connection = http.client.HTTPConnection(
@@ -143,12 +155,8 @@
         return self._connection
 
 
-def _decode_page(document: dict[str, Any]) -> Result[RowsPage, RowsError]:
-    try:
-        changes = tuple(_decode_row(each) for each in document["rows"])
-        return Ok(RowsPage(changes, int(document["rowVersion"])))
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return Error(RowsError(RowsFailure.REJECTED, repr(error)))
+def _parse_epoch(text: str | None) -> int:
+    return int(text) if text is not None and text.strip().isdigit() else 0
 
 
 def _decode_row(document: dict[str, Any]) -> RowChange:
