--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform's row store, served over HTTP.
 
 It keeps rows in memory, with transactions, ranges, a feed and a bounded
-history. Tests can make it unresponsive or silent, return error statuses or lose
-responses.
+history. Tests can make it unresponsive or silent, return error statuses, lose
+responses, or restore it from a copy.
 """
 
 from __future__ import annotations
@@ -12,15 +12,28 @@
 import threading
 import time
 from collections import Counter, defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at a version."""
+
+    version: int
+    rows: dict[tuple, dict]
+    history: list[dict]
+
+
 class StoreStandIn:
     """A row store that listens on `address`."""
 
     def __init__(self) -> None:
         self.version = 0
+        self.epoch = 1
         self.rows: dict[tuple, dict] = {}
         self.history: list[dict] = []
         self.oldest = 0
@@ -63,6 +76,28 @@
             self.oldest = self.version
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        with self._changed:
+            return StoreCopy(self.version, dict(self.rows), list(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy, whose successors' versions are given out again."""
+        with self._changed:
+            self.epoch += 1
+            self.version, self.oldest = copy.version, min(self.oldest, copy.version)
+            self.rows, self.history = dict(copy.rows), list(copy.history)
+            self._changed.notify_all()
+
+    @contextmanager
+    def paused(self) -> Iterator[None]:
+        """Answer no call until all changes made in the block are complete."""
+        with self._changed:
+            yield
+
+    def read_row(self, table: str, part: str, key: str) -> bytes | None:
+        row = self.rows.get((table, part, key))
+        return base64.b64decode(row["value"]) if row else None
+
     def transact(self, entries: dict) -> tuple[int, dict]:
         with self._changed:
             for row in entries.get("precondition", []):
@@ -108,7 +143,7 @@
         self, query: dict, after: int, deadline: float
     ) -> tuple[int, dict]:
         while True:
-            if after < self.oldest:
+            if not self.oldest <= after <= self.version:
                 return 410, {}
             rows = [
                 row
@@ -170,5 +205,6 @@
         data = json.dumps(document).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
+        self.send_header("Store-Era", str(store.epoch))
         self.end_headers()
         self.wfile.write(data)
