Order the store's rows by its epoch and version

Callers got routes of an older configuration: after the store was restored from an older copy, no version written since came into force, and the nodes called the store without a pause.

Cause: versions were taken to only grow, but the store's counter goes back in a restore and gives numbers out again. Class of fault: a counter is compared across a change of its owner's identity.

A store version is now an epoch, from the store's header, and a number. Updates of an earlier epoch are ignored, the first rows of a later one replace all. Lost history again and again is read with a backoff. Looked for elsewhere: the relay's versions, the expected version of a record's write, and the record itself, which its node now compares with the stored one and writes again; nodes whose record was lost have the recovery time for that.

--- a/src/cyclamenvane/mesh/counted_store.py
+++ b/src/cyclamenvane/mesh/counted_store.py
@@ -8,7 +8,7 @@
 
 from expression import Result
 
-from .rows import RowsError, RowsPage, RowStore, RowWrite
+from .rows import RowsError, RowsPage, RowStore, RowWrite, StoreVersion
 
 if TYPE_CHECKING:
     from .metric import Metrics
@@ -30,15 +30,19 @@
         return self._count("read", self._store.read(table, part))
 
     def watch(
-        self, table: str, after: int, wait: timedelta
+        self, table: str, after: StoreVersion, wait: timedelta
     ) -> Result[RowsPage, RowsError]:
         """Wait for changes of a table that are newer than version `after`."""
         return self._count("watch", self._store.watch(table, after, wait))
 
-    def write(self, writes: Sequence[RowWrite]) -> Result[int, RowsError]:
+    def write(self, writes: Sequence[RowWrite]) -> Result[StoreVersion, RowsError]:
         """Apply all writes, which are of one part, or none; return the new version."""
         return self._count("write", self._store.write(writes))
 
+    def interrupt(self) -> None:
+        """Let the call in progress, if any, fail; for use by other tasks."""
+        self._store.interrupt()
+
     def close(self) -> None:
         """Close the connection; the next call opens another."""
         self._store.close()
--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -11,6 +11,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import eliot
+
 from .forward import NO_LOAD, Load
 
 if TYPE_CHECKING:
@@ -175,6 +177,7 @@
         self._fallback_time = fallback_time
         self._peers: dict[str, Peer] = {}
         self._peers_by_service: dict[str, list[Peer]] = {}
+        self._expires_at: dict[str, timedelta] = {}
         self._lock = threading.Lock()
 
     def apply(self, record: NodeRecord) -> bool:
@@ -198,9 +201,31 @@
         """Remove a node whose record was deleted; return whether it was known."""
         with self._lock:
             removed = self._peers.pop(node, None)
+            self._expires_at.pop(node, None)
             self._rebuild_index()
         return removed is not None
 
+    def expire(self, node: str, wait: timedelta) -> None:
+        """Remove a node after `wait`, unless `keep` is called before.
+
+        A node that is to be removed already keeps its time.
+        """
+        with self._lock:
+            self._expires_at.setdefault(node, self._clock.monotonic() + wait)
+
+    def keep(self, node: str) -> None:
+        """Do not remove a node that was to expire."""
+        self._expires_at.pop(node, None)
+
+    def remove_expired(self) -> None:
+        """Remove the nodes whose time is up."""
+        now = self._clock.monotonic()
+        with self._lock:
+            expired = [node for node, at in self._expires_at.items() if at <= now]
+        for node in expired:
+            self.remove(node)
+            eliot.log_message("node:removed", node=node)
+
     def peers(self) -> list[Peer]:
         """Return all nodes except the local one."""
         return list(self._peers.values())
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -15,7 +15,7 @@
 
 from .publication import NODES_TABLE, RecordPublisher, decode_record
 from .replica import StoreReplica, TableCallbacks
-from .rows import RowChange, RowStore, StoredRow
+from .rows import RowChange, RowStore, StoreVersion
 from .subscription import (
     MAX_WATCH_TIMEOUT,
     Backoff,
@@ -72,6 +72,7 @@
         self._clock = clock
         self._sleep = sleep
         self._store_reached: dict[str, bool] = {}
+        self._nodes_epoch: int | None = None
         self.replica = StoreReplica(
             {
                 adapter.configuration_table: TableCallbacks(
@@ -126,7 +127,7 @@
             page = store.read(NODES_TABLE, self._get_settings().zone)
             self._on_store_result(page.is_ok(), NODES_TABLE)
             if page.is_ok():
-                self._apply_zone(page.ok.changes)
+                self._apply_zone(page.ok.changes, page.ok.version.epoch)
             if self.list_zone() or (page.is_ok() and waited):
                 break
             if page.is_ok():
@@ -147,13 +148,12 @@
             and not peer.is_unreachable()
         ]
 
-    def _apply_zone(self, changes: Sequence[RowChange]) -> None:
-        version = 0
+    def _apply_zone(self, changes: Sequence[RowChange], epoch: int) -> None:
+        version = StoreVersion(epoch, 0)
         for change in changes:
             self._apply_node_change(change)
             if change.key == self._get_settings().node and change.row is not None:
                 version = change.row.version
-                self._restore_deregistration(change.row)
         self._publisher.offer_row_version(version)
 
     def apply_configurations(self, changes: list[RowChange]) -> None:
@@ -172,42 +172,59 @@
             else:
                 self._configuration.apply(decoded.ok, "rows")
 
-    def apply_node_snapshot(self, changes: list[RowChange], version: int) -> None:
-        """Apply the records of all nodes as of a version; remove nodes without one."""
+    def apply_node_snapshot(
+        self, changes: list[RowChange], version: StoreVersion
+    ) -> None:
+        """Apply the records of all nodes as of a version; remove nodes without one.
+
+        A store that was restored may have lost their records. They have time to write
+        them again.
+        """
+        restored = self._nodes_epoch is not None and self._nodes_epoch < version.epoch
+        self._nodes_epoch = version.epoch
+        if restored:
+            eliot.log_message("store:restored", version=version, nodes=len(changes))
         found = {change.key for change in changes}
         for change in changes:
             self._apply_node_change(change)
-            if change.key == self._get_settings().node and change.row is not None:
-                self._restore_deregistration(change.row)
+        wait = self._get_settings().store_recovery_time if restored else timedelta()
         for peer in self._directory.peers():
             if peer.record.node not in found:
-                self._directory.remove(peer.record.node)
+                self._directory.expire(peer.record.node, wait)
+        self._directory.remove_expired()
         if self._get_settings().node not in found:
             self._request_publication(version)
 
-    def _restore_deregistration(self, row: StoredRow) -> None:
-        # An earlier session of the node may have recorded the target's shutdown.
-        record = decode_record(row.value)
-        if record is not None and record.leaving and record.incarnation is not None:
-            self._registration.restore_deregistration(record.incarnation)
-
-    def _request_publication(self, missing_at: int) -> None:
-        # Before the first heartbeat of the target there is nothing to publish.
-        if self._registration.state() is not None:
-            self._publisher.request_rewrite(missing_at)
-
     def _apply_node_change(self, change: RowChange) -> None:
-        if change.row is None:
-            if change.key == self._get_settings().node:
-                self._request_publication(change.version)
+        if change.key == self._get_settings().node:
+            self._check_own_row(change)
+        elif change.row is None:
             if self._directory.remove(change.key):
                 eliot.log_message("node:removed", node=change.key)
-            return
-        record = decode_record(change.row.value)
-        if record is None or record.node != change.key:
-            eliot.log_message("node:record_invalid", key=change.key)
         else:
-            self._peer_sync.apply_record(record)
+            record = decode_record(change.row.value)
+            if record is None or record.node != change.key:
+                eliot.log_message("node:record_invalid", key=change.key)
+            else:
+                self._directory.keep(record.node)
+                self._peer_sync.apply_record(record)
+
+    def _check_own_row(self, change: RowChange) -> None:
+        stored = decode_record(change.row.value) if change.row else None
+        current = self._publisher.make_record()
+        if stored is None:
+            self._request_publication(change.version)
+        elif stored.session < current.session:
+            if stored.leaving and stored.incarnation is not None:
+                self._registration.restore_deregistration(stored.incarnation)
+            self._request_publication(change.version)
+        elif stored.session == current.session and stored != current:
+            self._request_publication(change.version)
+
+    def _request_publication(self, outdated_at: StoreVersion | None) -> None:
+        # Before the first heartbeat of the target there is nothing to publish.
+        if outdated_at is not None and self._registration.state() is not None:
+            self._publisher.request_rewrite(outdated_at)
 
     def _on_store_result(self, reached: bool, detail: str) -> None:
         table = detail.partition(":")[0]
--- a/src/cyclamenvane/mesh/peer_sync.py
+++ b/src/cyclamenvane/mesh/peer_sync.py
@@ -86,6 +86,7 @@
         # No caller waits for these exchanges, so none of them is cancelled.
         watch = Watch(self._clock, unset_signal.descriptor, lambda: True)
         while self._sleep(_ROUND_INTERVAL):
+            self._directory.remove_expired()
             self._probe_unreachable(watch)
             self._fetch_snapshots(watch)
 
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -2,7 +2,8 @@
 
 A record is a row of the nodes table, in the part of its zone, so that the writes
 of many starting nodes spread over the parts. Each write names the expected version
-of the row: a write that the store performs late cannot overwrite a newer one.
+of the row: a write that the store performs late cannot overwrite a newer one. A
+record that the store has lost, or has an older version of, is written again.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 import msgpack
 
 from .model import Incarnation, NodeRecord
-from .rows import RowsFailure, RowStore, RowWrite
+from .rows import RowsFailure, RowStore, RowWrite, StoreVersion
 from .subscription import Backoff
 
 if TYPE_CHECKING:
@@ -33,25 +34,25 @@
         self, store: RowStore, make_record: Callable[[], NodeRecord], sleep: Sleep
     ) -> None:
         self._store = store
-        self._make_record = make_record
+        self.make_record = make_record
         self._sleep = sleep
         self._write_requested = threading.Event()
-        self._row_version: int | None = None
+        self._row_version: StoreVersion | None = None
         self._written: NodeRecord | None = None
+        self._outdated_at: StoreVersion | None = None
 
-    def offer_row_version(self, version: int) -> None:
-        """Use the version of this node's row that was read, 0 for a missing row."""
+    def offer_row_version(self, version: StoreVersion) -> None:
+        """Use the version of this node's row that was read, number 0 for none."""
         if self._row_version is None:
             self._row_version = version
 
-    def request_rewrite(self, missing_at: int) -> None:
+    def request_rewrite(self, outdated_at: StoreVersion) -> None:
         """Request a write of the record, which the store had not at a version.
 
         It may have been written since then.
         """
-        if self._row_version is not None and missing_at < self._row_version:
-            return
-        self._row_version = self._written = None
+        if self._outdated_at is None or self._outdated_at < outdated_at:
+            self._outdated_at = outdated_at
         self._write_requested.set()
 
     def request_write(self) -> None:
@@ -69,17 +70,19 @@
         self._store.close()
 
     def _write(self) -> bool:
-        record = self._make_record()
+        record = self.make_record()
+        self._forget_outdated()
         if record == self._written:
             return True
-        if self._row_version is None and not self._read_row_version(record):
+        row_version = self._row_version or self._read_row_version(record)
+        if row_version is None:
             return False
         write = RowWrite(
             NODES_TABLE,
             record.zone,
             record.node,
             encode_record(record),
-            self._row_version,
+            row_version.number,
         )
         result = self._store.write([write])
         if result.is_ok():
@@ -91,13 +94,22 @@
             eliot.log_message("node:record_not_written", error=result.error.detail)
         return False
 
-    def _read_row_version(self, record: NodeRecord) -> bool:
+    def _forget_outdated(self) -> None:
+        row_version, outdated_at = self._row_version, self._outdated_at
+        if row_version is None or outdated_at is None or outdated_at < row_version:
+            return
+        self._written = None
+        if row_version < outdated_at:
+            self._row_version = None
+
+    def _read_row_version(self, record: NodeRecord) -> StoreVersion | None:
         page = self._store.read(NODES_TABLE, record.zone)
         if page.is_error():
-            return False
+            return None
         rows = [each.row for each in page.ok.changes if each.key == record.node]
-        self._row_version = rows[0].version if rows and rows[0] else 0
-        return True
+        return (
+            rows[0].version if rows and rows[0] else page.ok.version._replace(number=0)
+        )
 
 
 def encode_record(record: NodeRecord) -> bytes:
--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -20,7 +20,7 @@
 from .forward import FrameKind
 from .frames import FrameStream
 from .replica import TableUpdate
-from .rows import RowChange, StoredRow
+from .rows import RowChange, StoredRow, StoreVersion
 from .store_watch import WatchState
 from .watch import Signal, WaitResult, Watch
 
@@ -183,15 +183,28 @@
     return FrameStream(open_connection(address, _CONNECT_TIMEOUT))
 
 
-def _pack_request(versions: dict[str, int | None], wait: timedelta) -> list[Any]:
+def _pack_request(
+    versions: dict[str, StoreVersion | None], wait: timedelta
+) -> list[Any]:
     return [FrameKind.FOLLOW, list(versions.items()), wait // _MILLISECOND]
 
 
-def _unpack_request(frame: list[Any]) -> tuple[dict[str, int | None], timedelta]:
+def _unpack_request(
+    frame: list[Any],
+) -> tuple[dict[str, StoreVersion | None], timedelta]:
     _, versions, wait = frame
-    if any(version is not None and version < 0 for _, version in versions):
+    unpacked = {
+        table: None if version is None else _unpack_version(version)
+        for table, version in versions
+    }
+    return unpacked, min(max(wait, 0) * _MILLISECOND, _MAX_WAIT)
+
+
+def _unpack_version(fields: list[Any]) -> StoreVersion:
+    epoch, number = fields
+    if epoch < 0 or number < 0:
         raise ValueError("negative version")
-    return dict(versions), min(max(wait, 0) * _MILLISECOND, _MAX_WAIT)
+    return StoreVersion(int(epoch), int(number))
 
 
 def _pack_update(update: TableUpdate) -> list[Any]:
@@ -212,10 +225,16 @@
 def _unpack_update(fields: list[Any]) -> TableUpdate:
     table, complete, version, changes = fields
     return TableUpdate(
-        table, complete, tuple(_unpack_change(*each) for each in changes), int(version)
+        table,
+        complete,
+        tuple(_unpack_change(*each) for each in changes),
+        _unpack_version(version),
     )
 
 
-def _unpack_change(part: str, key: str, version: int, value: bytes | None) -> RowChange:
-    row = StoredRow(part, key, value, version) if value is not None else None
-    return RowChange(part, key, row, int(version))
+def _unpack_change(
+    part: str, key: str, version: list[Any], value: bytes | None
+) -> RowChange:
+    changed_at = _unpack_version(version)
+    row = StoredRow(part, key, value, changed_at) if value is not None else None
+    return RowChange(part, key, row, changed_at)
--- a/src/cyclamenvane/mesh/replica.py
+++ b/src/cyclamenvane/mesh/replica.py
@@ -2,8 +2,10 @@
 
 The copy is filled by the store itself, or by another node that relays the store.
 Row versions come from the store's single counter, so updates from several sources
-can be applied in any order: an older one never replaces a newer one. The copy answers
-which rows have changed since a version, so that this node can relay the store too.
+can be applied in any order: an older one never replaces a newer one. After the store
+was restored, all rows are replaced, and updates of its earlier epoch are ignored. The
+copy answers which rows have changed since a version, so that this node can relay the
+store too.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 
 import eliot
 
-from .rows import RowChange
+from .rows import RowChange, StoreVersion
 
 __all__ = ["StoreReplica", "TableCallbacks", "TableUpdate"]
 
@@ -29,7 +31,7 @@
     replica.
     """
 
-    on_snapshot: Callable[[list[RowChange], int], None]
+    on_snapshot: Callable[[list[RowChange], StoreVersion], None]
     on_change: Callable[[RowChange], None]
 
 
@@ -40,7 +42,7 @@
     table: str
     complete: bool
     changes: tuple[RowChange, ...]
-    version: int
+    version: StoreVersion
 
 
 class StoreReplica:
@@ -52,7 +54,7 @@
             name: _TableReplica(name, callbacks) for name, callbacks in tables.items()
         }
 
-    def versions(self) -> dict[str, int | None]:
+    def versions(self) -> dict[str, StoreVersion | None]:
         """Return the version of each table, None before its first snapshot."""
         with self._changed:
             return {name: table.version for name, table in self._tables.items()}
@@ -66,7 +68,7 @@
                 self._changed.notify_all()
 
     def wait_for_updates(
-        self, versions: Mapping[str, int | None], timeout: timedelta
+        self, versions: Mapping[str, StoreVersion | None], timeout: timedelta
     ) -> list[TableUpdate]:
         """Return the updates since some versions; wait for them if there are none."""
         with self._changed:
@@ -81,12 +83,14 @@
         with self._changed:
             self._changed.notify_all()
 
-    def _list_updates(self, versions: Mapping[str, int | None]) -> list[TableUpdate]:
+    def _list_updates(
+        self, versions: Mapping[str, StoreVersion | None]
+    ) -> list[TableUpdate]:
         updates = []
         for name, version in versions.items():
             table = self._tables.get(name)
             if table is not None and table.version is not None:
-                updates.append(table.make_update(version))
+                updates.append(table.make_update(version, table.version))
         return updates
 
 
@@ -94,24 +98,28 @@
     """One table; a deleted row is kept as a change without a row."""
 
     def __init__(self, name: str, callbacks: TableCallbacks) -> None:
-        self.version: int | None = None
+        self.version: StoreVersion | None = None
         self._name = name
         self._callbacks = callbacks
         self._changes: dict[tuple[str, str], RowChange] = {}
-        self._complete_since = 0
+        self._complete_since = StoreVersion(0, 0)
 
     def apply(self, update: TableUpdate) -> None:
-        if self.version is None and not update.complete:
-            return  # a change says nothing about the other rows
-        if update.complete and (self.version is None or update.version >= self.version):
+        known = self.version
+        if known is not None and update.version.epoch < known.epoch:
+            return  # the store has been restored since
+        if update.complete and (known is None or update.version >= known):
             self._replace(update)
+        elif known is None or update.version.epoch > known.epoch:
+            return  # a change says nothing about the other rows
         else:
             for change in self._store_newer(update.changes, update.version):
                 self._callbacks.on_change(change)
-        self.version = max(self.version or 0, update.version)
+        self.version = update.version if known is None else max(known, update.version)
 
-    def make_update(self, after: int | None) -> TableUpdate:
-        version = self.version or 0
+    def make_update(
+        self, after: StoreVersion | None, version: StoreVersion
+    ) -> TableUpdate:
         if after is None or after < self._complete_since:
             rows = tuple(each for each in self._changes.values() if each.row)
             return TableUpdate(self._name, True, rows, version)
@@ -122,7 +130,7 @@
         return TableUpdate(self._name, False, tuple(changes), version)
 
     def _replace(self, update: TableUpdate) -> None:
-        if self.version is None:
+        if self.version is None or update.version.epoch > self.version.epoch:
             self._complete_since = update.version
         found = {(change.part, change.key) for change in update.changes}
         for key, known in self._changes.items():
@@ -134,7 +142,7 @@
         self._callbacks.on_snapshot(rows, update.version)
 
     def _store_newer(
-        self, changes: Iterable[RowChange], version: int
+        self, changes: Iterable[RowChange], version: StoreVersion
     ) -> Iterable[RowChange]:
         for change in changes:
             # A deletion without a version of its own is as new as its update.
--- a/src/cyclamenvane/mesh/rows.py
+++ b/src/cyclamenvane/mesh/rows.py
@@ -2,6 +2,9 @@
 
 Rows are stored in tables, and each table consists of parts; a single counter
 numbers all changes of the store. An adapter implements `RowStore` for a platform.
+
+A store that is restored from an older copy has lost the changes since, and gives their
+numbers out again. Its epoch rises each time, so a version is an epoch and a number.
 """
 
 from __future__ import annotations
@@ -10,7 +13,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from expression import Result
 
@@ -21,10 +24,18 @@
     "RowsError",
     "RowsFailure",
     "RowsPage",
+    "StoreVersion",
     "StoredRow",
 ]
 
 
+class StoreVersion(NamedTuple):
+    """A version of the store; a later one compares greater."""
+
+    epoch: int
+    number: int
+
+
 class RowsFailure(Enum):
     """Why a call to the store failed; only UNKNOWN may have had an effect."""
 
@@ -54,40 +65,36 @@
     part: str
     key: str
     value: bytes
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
 class RowChange:
     """The current state of one row; `row` is None if it was deleted.
 
-    `version` is that of the change, 0 if it is not known.
+    `version` is that of the change, None if it is not known.
     """
 
     part: str
     key: str
     row: StoredRow | None
-    version: int = 0
+    version: StoreVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class RowsPage:
-    """Rows, and the store version up to which they are complete.
-
-    `epoch` rises each time that the store is restored from an older copy.
-    """
+    """Rows, and the store version up to which they are complete."""
 
     changes: tuple[RowChange, ...]
-    version: int
-    epoch: int = 0
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
 class RowWrite:
     """A write of one row, or its deletion when `value` is None.
 
-    `expected` is the version that the row must have: 0 if it must not exist, None
-    for any.
+    `expected` is the number of the version that the row must have: 0 if it must not
+    exist, None for any.
     """
 
     table: str
@@ -104,12 +111,19 @@
         """Return all rows of a part, as of the returned version or a later one."""
 
     def watch(
-        self, table: str, after: int, wait: timedelta
+        self, table: str, after: StoreVersion, wait: timedelta
     ) -> Result[RowsPage, RowsError]:
-        """Wait for changes of a table that are newer than version `after`."""
+        """Wait for changes of a table that are newer than version `after`.
 
-    def write(self, writes: Sequence[RowWrite]) -> Result[int, RowsError]:
+        Fail with HISTORY_GONE if the store does not know all of them, as after it was
+        restored.
+        """
+
+    def write(self, writes: Sequence[RowWrite]) -> Result[StoreVersion, RowsError]:
         """Apply all writes, which are of one part, or none; return the new version."""
 
+    def interrupt(self) -> None:
+        """Let the call in progress, if any, fail; for use by other tasks."""
+
     def close(self) -> None:
         """Close the connection; the next call opens another."""
--- a/src/cyclamenvane/mesh/store_watch.py
+++ b/src/cyclamenvane/mesh/store_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -35,6 +35,8 @@
         self._started_at: dict[str, timedelta] = {}
         self._reached_at: dict[str, timedelta] = {}
         self._failing_since: dict[str, timedelta] = {}
+        self._epochs: dict[str, int] = {}
+        self._interrupts: dict[str, Callable[[], None]] = {}
         self._lock = threading.Lock()
 
     def follow_all(self) -> None:
@@ -74,6 +76,23 @@
             else:
                 self._failing_since.setdefault(table, now)
 
+    def on_new_epoch(self, table: str, interrupt: Callable[[], None]) -> None:
+        """Call `interrupt` when the store was restored, as another table shows.
+
+        A call that lets the store wait may have been overtaken by that.
+        """
+        self._interrupts[table] = interrupt
+
+    def record_epoch(self, table: str, epoch: int) -> None:
+        """Record the store's epoch as of which a table is known."""
+        with self._lock:
+            if self._epochs.get(table) == epoch:
+                return
+            self._epochs[table] = epoch
+            behind = [name for name, known in self._epochs.items() if known < epoch]
+        for name in behind:
+            self._interrupts[name]()
+
     def state(self) -> WatchState:
         """Return whether all tables are followed without a failure."""
         now = self._clock.monotonic()
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -2,7 +2,8 @@
 
 A subscription reads the parts of the table unless the replica has them already, then
 watches for changes. It reads the parts again when the store no longer has the
-history, and retries with increasing delays when the store does not answer.
+history or was restored, and retries with increasing delays when the store does not
+answer, or lacks the history again and again.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 import eliot
 
 from .replica import TableUpdate
-from .rows import RowChange, RowsError, RowsFailure, RowStore
+from .rows import RowChange, RowsError, RowsFailure, RowStore, StoreVersion
 
 if TYPE_CHECKING:
     from ..clock import Clock
@@ -102,6 +103,8 @@
         self._clock = clock
         self._sleep = sleep
         self._backoff = Backoff()
+        self._read_backoff = Backoff()
+        store_watch.on_new_epoch(table, store.interrupt)
         self._batch_delay = _MIN_BATCH_DELAY
         self._history_gone = False
 
@@ -118,8 +121,7 @@
 
     def _read_all(self) -> None:
         rows: list[RowChange] = []
-        version: int | None = None
-        epoch = 0
+        version: StoreVersion | None = None
         for part in self._parts():
             started_at = self._clock.monotonic()
             page = self._store.read(self._table, part)
@@ -128,20 +130,21 @@
                 return
             rows += page.ok.changes
             # With the first part's version, changes may repeat but none is missed.
-            version = page.ok.version if version is None else version
-            epoch = page.ok.epoch
-        self._history_gone = False
+            version = version or page.ok.version
+            if page.ok.version.epoch != version.epoch:
+                return  # restored between two parts
         eliot.log_message(
             "store:read",
             table=self._table,
             version=version,
-            epoch=epoch,
             rows=len(rows),
             known_version=self._replica.versions()[self._table],
         )
-        self._apply(True, tuple(rows), version or 0)
+        if version is not None:
+            self._history_gone = False
+            self._apply(True, tuple(rows), version)
 
-    def _watch_changes(self, version: int) -> None:
+    def _watch_changes(self, version: StoreVersion) -> None:
         started_at = self._clock.monotonic()
         # A store that is unavailable may never answer, so a retry does not wait.
         retrying = self._backoff.is_retrying()
@@ -149,16 +152,11 @@
         page = self._store.watch(self._table, version, timeout)
         if page.is_error():
             if page.error.failure is RowsFailure.HISTORY_GONE:
-                eliot.log_message(
-                    "store:history_gone",
-                    table=self._table,
-                    version=version,
-                    epoch=page.error.epoch,
-                )
-                self._history_gone = True
+                self._handle_lost_history(page.error, version)
             else:
                 self._handle_failure(page.error, started_at)
             return
+        self._read_backoff.reset()
         self._apply(False, page.ok.changes, page.ok.version)
         if self._clock.monotonic() - started_at > _MAX_BATCH_DELAY:
             self._batch_delay = _MIN_BATCH_DELAY
@@ -167,12 +165,27 @@
             self._batch_delay = min(self._batch_delay * 2, _MAX_BATCH_DELAY)
 
     def _apply(
-        self, complete: bool, changes: tuple[RowChange, ...], version: int
+        self, complete: bool, changes: tuple[RowChange, ...], version: StoreVersion
     ) -> None:
         self._replica.apply(TableUpdate(self._table, complete, changes, version))
         self._backoff.reset()
+        self._store_watch.record_epoch(self._table, version.epoch)
         self._on_result(True, self._table)
 
+    def _handle_lost_history(self, error: RowsError, version: StoreVersion) -> None:
+        eliot.log_message(
+            "store:history_gone",
+            table=self._table,
+            version=version,
+            epoch=error.epoch,
+            detail=error.detail,
+        )
+        self._history_gone = True
+        again = self._read_backoff.is_retrying()
+        delay = self._read_backoff.next_delay()
+        if again:
+            self._sleep(delay)
+
     def _handle_failure(self, error: RowsError, started_at: timedelta) -> None:
         waited = (self._clock.monotonic() - started_at) // timedelta(milliseconds=1)
         failure = f"{error.failure.value} after {waited} ms {error.detail}"
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -12,6 +12,7 @@
 import http.client
 import socket
 from collections.abc import Sequence
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any
 from urllib.parse import urlencode
@@ -21,7 +22,15 @@
 
 from ..mesh.keepalive import enable_keepalive
 from ..mesh.model import Address
-from ..mesh.rows import RowChange, RowsError, RowsFailure, RowsPage, RowWrite, StoredRow
+from ..mesh.rows import (
+    RowChange,
+    RowsError,
+    RowsFailure,
+    RowsPage,
+    RowWrite,
+    StoredRow,
+    StoreVersion,
+)
 
 __all__ = ["RowsClient"]
 
@@ -44,12 +53,12 @@
         self._address = address
         self._timeout = timeout.total_seconds()
         self._connection: http.client.HTTPConnection | None = None
-        self._epoch = 0
+        self._epoch = 0  # of the last response
 
     def read(self, table: str, part: str) -> Result[RowsPage, RowsError]:
         """Return all rows of a part, at the returned version or a newer one."""
         rows: list[StoredRow] = []
-        start, version = "", 0
+        start, version = "", None
         while True:
             query = {"table": table, "part": part, "limit": _PAGE_ROWS}
             if start:
@@ -63,21 +72,29 @@
             rows += [change.row for change in page.ok.changes if change.row]
             # Watching from the first page's version misses no change to later pages.
             version = version or page.ok.version
+            if page.ok.version.epoch != version.epoch:
+                detail = "restored between two pages"
+                return Error(RowsError(RowsFailure.HISTORY_GONE, detail, self._epoch))
             if not result.ok.get("hasMore") or not page.ok.changes:
                 break
             start = page.ok.changes[-1].key + "\0"
         changes = tuple(RowChange(row.part, row.key, row, row.version) for row in rows)
-        return Ok(RowsPage(changes, version, self._epoch))
+        return Ok(RowsPage(changes, version))
 
     def watch(
-        self, table: str, after: int, wait: timedelta
+        self, table: str, after: StoreVersion, wait: timedelta
     ) -> Result[RowsPage, RowsError]:
         """Wait up to `wait` for changes to a table newer than version `after`."""
         milliseconds = int(wait.total_seconds() * 1000)
-        query = {"table": table, "after": after, "waitMs": milliseconds}
-        return self._call("GET", "/api/rows-feed", query, wait).bind(self._decode_page)
-
-    def write(self, writes: Sequence[RowWrite]) -> Result[int, RowsError]:
+        query = {"table": table, "after": after.number, "waitMs": milliseconds}
+        result = self._call("GET", "/api/rows-feed", query, wait)
+        if result.is_ok() and self._epoch != after.epoch:
+            # The changes are those since another version of the same number.
+            detail = f"in epoch {self._epoch}, asked in {after.epoch}"
+            return Error(RowsError(RowsFailure.HISTORY_GONE, detail, self._epoch))
+        return result.bind(self._decode_page)
+
+    def write(self, writes: Sequence[RowWrite]) -> Result[StoreVersion, RowsError]:
         """Apply all writes to one part, or none; return the new version."""
         entries = {"precondition": [], "puts": [], "deletes": []}
         for write in writes:
@@ -90,7 +107,19 @@
                 text = base64.b64encode(write.value).decode()
                 entries["puts"].append(row_id | {"value": text})
         result = self._call("POST", "/api/rows-tx", {}, body=orjson.dumps(entries))
-        return result.map(lambda document: int(document.get("rowVersion", 0)))
+        return result.map(
+            lambda document: StoreVersion(
+                self._epoch, int(document.get("rowVersion", 0))
+            )
+        )
+
+    def interrupt(self) -> None:
+        """Let the call in progress, if any, fail; for use by other tasks."""
+        connection = self._connection
+        sock = connection.sock if connection is not None else None
+        if sock is not None:
+            with suppress(OSError):  # the connection has ended already
+                sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -136,11 +165,11 @@
 
     def _decode_page(self, document: dict[str, Any]) -> Result[RowsPage, RowsError]:
         try:
-            changes = tuple(_decode_row(each) for each in document["rows"])
-            version = int(document["rowVersion"])
+            changes = tuple(_decode_row(each, self._epoch) for each in document["rows"])
+            version = StoreVersion(self._epoch, int(document["rowVersion"]))
         except (KeyError, TypeError, ValueError, binascii.Error) as error:
             return Error(RowsError(RowsFailure.REJECTED, repr(error)))
-        return Ok(RowsPage(changes, version, self._epoch))
+        return Ok(RowsPage(changes, version))
 
     def _connect(self, timeout: float) -> http.client.HTTPConnection:
         if self._connection is None:
@@ -159,9 +188,13 @@
     return int(text) if text is not None and text.strip().isdigit() else 0
 
 
-def _decode_row(document: dict[str, Any]) -> RowChange:
+def _decode_row(document: dict[str, Any], epoch: int) -> RowChange:
     part, key = document.get("part", ""), document["key"]
+    number = document.get("rowVersion")
     if document.get("deleted"):
-        return RowChange(part, key, None, int(document.get("rowVersion", 0)))
-    value, version = base64.b64decode(document["value"]), int(document["rowVersion"])
+        version = StoreVersion(epoch, int(number)) if number else None
+        return RowChange(part, key, None, version)
+    value, version = base64.b64decode(document["value"]), StoreVersion(
+        epoch, int(number)
+    )
     return RowChange(part, key, StoredRow(part, key, value, version), version)
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -4,11 +4,12 @@
 
 import json
 import time
+from dataclasses import replace
 
 import pytest
 from mesh_harness import POST, route, wait_until
 
-from cyclamenvane.mesh.publication import NODES_TABLE, decode_record
+from cyclamenvane.mesh.publication import NODES_TABLE, decode_record, encode_record
 
 # Calm nodes have to follow the store again within the platform's stable window, and a
 # version has to be in force two seconds after its acknowledgement.
@@ -145,6 +146,15 @@
     wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
 
 
+def test_record_overwritten_by_a_late_write_is_written_again(zone):
+    """The version that a lost call expected was given out to another write."""
+    member = zone.members[0]
+    current = member.node.record()
+    late = encode_record(replace(current, slots=1))
+    zone.store.put(NODES_TABLE, member.zone, member.settings.node, late)
+    wait_until(lambda: stored_record(zone, member) == current, STABLE_WINDOW_S)
+
+
 def test_calls_are_served_while_the_store_is_restored(zone):
     copy = zone.store.copy()
     zone.configure(route(), route("post", "/orders/", **POST))
--- a/tests/mesh/test_subscription.py
+++ b/tests/mesh/test_subscription.py
@@ -17,6 +17,7 @@
     RowsFailure,
     RowsPage,
     StoredRow,
+    StoreVersion,
 )
 from cyclamenvane.mesh.store_watch import StoreWatch
 from cyclamenvane.mesh.subscription import Subscription, compute_watch_timeout
@@ -29,8 +30,12 @@
 HISTORY_GONE_RESULT = Error(RowsError(RowsFailure.HISTORY_GONE))
 
 
+def at(number, epoch=1):
+    return StoreVersion(epoch, number)
+
+
 def change(key, value=b"v"):
-    return RowChange("", key, StoredRow("", key, value, 1))
+    return RowChange("", key, StoredRow("", key, value, at(1)))
 
 
 class FakeSleep:
@@ -56,14 +61,17 @@
         self.on_watch = lambda: None
 
     def read(self, table, part):
-        return self.reads.popleft() if self.reads else Ok(RowsPage((), 9))
+        return self.reads.popleft() if self.reads else Ok(RowsPage((), at(9)))
 
     def watch(self, table, after, wait):
-        self.watched_versions.append(after)
+        self.watched_versions.append(after.number)
         self.watch_timeouts.append(wait)
         self.on_watch()
         return self.watches.popleft() if self.watches else UNAVAILABLE_RESULT
 
+    def interrupt(self):
+        return
+
     def close(self):
         return
 
@@ -91,8 +99,10 @@
 
 
 def test_changes_follow_the_snapshot_and_are_batched(clock):
-    changes = [Ok(RowsPage((change(key),), 6 + at)) for at, key in enumerate("bcdefg")]
-    store = ScriptedStore([Ok(RowsPage((change("a"),), 5))], changes)
+    changes = [
+        Ok(RowsPage((change(key),), at(6 + n))) for n, key in enumerate("bcdefg")
+    ]
+    store = ScriptedStore([Ok(RowsPage((change("a"),), at(5)))], changes)
     sleep = FakeSleep(6)
     assert follow(store, sleep, clock) == [["a"], *"bcdefg"]
     assert store.watched_versions[:2] == [5, 6]
@@ -102,8 +112,8 @@
 
 
 def test_first_change_after_a_quiet_time_is_not_delayed(clock):
-    changes = [Ok(RowsPage((change(key),), 6 + at)) for at, key in enumerate("bcd")]
-    store = ScriptedStore([Ok(RowsPage((change("a"),), 5))], changes)
+    changes = [Ok(RowsPage((change(key),), at(6 + n))) for n, key in enumerate("bcd")]
+    store = ScriptedStore([Ok(RowsPage((change("a"),), at(5)))], changes)
     store.on_watch = lambda: clock.advance(1.0)
     sleep = FakeSleep(3)
     follow(store, sleep, clock)
@@ -112,17 +122,40 @@
 
 def test_lost_history_is_replaced_by_a_snapshot(clock):
     store = ScriptedStore(
-        [Ok(RowsPage((change("a"),), 5)), Ok(RowsPage((change("c"),), 20))],
+        [Ok(RowsPage((change("a"),), at(5))), Ok(RowsPage((change("c"),), at(20)))],
         [HISTORY_GONE_RESULT],
     )
     assert follow(store, FakeSleep(1), clock) == [["a"], ["c"]]
     assert store.watched_versions == [5, 20]
 
 
+def test_history_that_is_gone_again_and_again_is_read_with_increasing_delays(clock):
+    store = ScriptedStore([], [HISTORY_GONE_RESULT] * 30)
+    sleep = FakeSleep(8)
+    follow(store, sleep, clock)
+    assert len(store.watched_versions) == 9
+    assert sleep.durations[4] > sleep.durations[0]
+    assert max(sleep.durations) <= timedelta(seconds=1)
+
+
+def test_restored_store_ends_the_waits_for_other_tables(clock):
+    store_watch = StoreWatch(["t", "u"], clock)
+    interrupted = []
+    for table in ("t", "u"):
+        store_watch.on_new_epoch(table, lambda table=table: interrupted.append(table))
+        store_watch.record_epoch(table, 1)
+    store_watch.record_epoch("t", 1)
+    assert not interrupted
+    store_watch.record_epoch("t", 2)
+    store_watch.record_epoch("t", 2)
+    store_watch.record_epoch("u", 2)
+    assert interrupted == ["u"]
+
+
 def test_an_outage_is_retried_with_increasing_delays(clock):
     random.seed(1)
     store = ScriptedStore(
-        [UNAVAILABLE_RESULT] * 6 + [Ok(RowsPage((change("a"),), 5))], []
+        [UNAVAILABLE_RESULT] * 6 + [Ok(RowsPage((change("a"),), at(5)))], []
     )
     sleep = FakeSleep(8)
     assert follow(store, sleep, clock) == [["a"]]
@@ -131,7 +164,7 @@
 
 
 def test_a_failure_is_reported_with_how_long_the_call_had_waited(clock):
-    store = ScriptedStore([Ok(RowsPage((), 5))], [])
+    store = ScriptedStore([Ok(RowsPage((), at(5)))], [])
     store.on_watch = lambda: clock.advance(2.5)
     results = []
     follow(store, FakeSleep(1), clock, lambda *result: results.append(result))
@@ -139,7 +172,7 @@
 
 
 def test_retry_does_not_let_the_store_wait(clock):
-    answer = Ok(RowsPage((), 5))
+    answer = Ok(RowsPage((), at(5)))
     store = ScriptedStore([answer], [UNAVAILABLE_RESULT, UNAVAILABLE_RESULT, answer])
     follow(store, FakeSleep(3), clock)
     assert store.watch_timeouts == [
@@ -187,7 +220,9 @@
 
 def test_a_lost_answer_does_not_undo_a_newer_record(publish_record, store):
     publisher, _ = publish_record(make_record("n", session=1))
-    publisher.request_rewrite(store.version)  # an unchanged record would not be written
+    publisher.request_rewrite(
+        at(store.version)
+    )  # an unchanged record would not be written
     store.lose_responses = True
     assert not publisher._write()
     store.lose_responses = False
@@ -203,18 +238,49 @@
     publish_record, store
 ):
     publisher, _ = publish_record(make_record("n"))
-    publisher.request_rewrite(store.version - 1)
+    publisher.request_rewrite(at(store.version - 1))
     assert publisher._write()
     assert store.calls.count("/api/rows-tx") == 1
-    publisher.request_rewrite(store.version)
+    publisher.request_rewrite(at(store.version))
     assert publisher._write()
     assert store.calls.count("/api/rows-tx") == 2
 
 
+def test_record_lost_by_a_restored_store_is_written_again(publish_record, store):
+    copy = store.copy()
+    publisher, _ = publish_record(make_record("n"))
+    store.restore(copy)
+    publisher.request_rewrite(at(copy.version, epoch=2))
+    assert publisher._write()
+    assert store.calls.count("/api/rows-tx") == 2
+    assert publisher._write()
+    assert store.calls.count("/api/rows-tx") == 2
+
+
+def test_record_acknowledged_just_before_a_restore_is_written_again(store):
+    """The nodes have read the restored store before the acknowledgement arrives."""
+    client = RowsClient(store.address, timedelta(seconds=1))
+    publisher = RecordPublisher(client, lambda: make_record("n"), FakeSleep(9))
+    copy, write = store.copy(), client.write
+
+    def write_and_restore(writes):
+        result = write(writes)
+        store.restore(copy)
+        publisher.request_rewrite(at(copy.version, epoch=2))
+        return result
+
+    client.write = write_and_restore
+    assert publisher._write()
+    client.write = write
+    assert publisher._write()
+    assert len(store.rows) == 1
+    client.close()
+
+
 def test_known_row_version_saves_the_read(store):
     client = RowsClient(store.address, timedelta(seconds=1))
     publisher = RecordPublisher(client, lambda: make_record("n"), FakeSleep(9))
-    publisher.offer_row_version(0)
+    publisher.offer_row_version(at(0))
     assert publisher._write()
     assert store.calls == ["/api/rows-tx"]
     client.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import threading
+import time
 from datetime import timedelta
 
 import pytest
 
-from cyclamenvane.mesh.rows import RowsFailure, RowWrite
+from cyclamenvane.mesh.rows import RowsFailure, RowWrite, StoreVersion
 from cyclamenvane.platform.store import RowsClient
 
 TIMEOUT = timedelta(milliseconds=300)
@@ -30,7 +31,7 @@
     page = client.read("t", "p")
     assert keys(page) == ["a", "b", "c"]
     assert page.ok.changes[0].row.value == b"a"
-    assert page.ok.version == 3
+    assert page.ok.version == StoreVersion(1, 3)
     assert keys(client.read("t", "other")) == []
 
 
@@ -45,13 +46,13 @@
     version = client.write([RowWrite("t", "", "k", b"1", 0)]).ok
     conflict = client.write([RowWrite("t", "", "k", b"2", 0)])
     assert conflict.error.failure is RowsFailure.CONFLICT
-    assert client.write([RowWrite("t", "", "k", b"2", version)]).is_ok()
+    assert client.write([RowWrite("t", "", "k", b"2", version.number)]).is_ok()
 
 
 def test_watch_returns_on_the_first_change(client, store):
     store.put("t", "", "k", b"1")
     threading.Timer(0.1, store.put, ("t", "", "k", b"2")).start()
-    page = client.watch("t", store.version, timedelta(seconds=5))
+    page = client.watch("t", StoreVersion(1, store.version), timedelta(seconds=5))
     assert page.ok.changes[0].row.value == b"2"
     client.write([RowWrite("t", "", "k", None)])
     deletion = client.watch("t", page.ok.version, timedelta(seconds=5))
@@ -60,14 +61,14 @@
 
 def test_watch_without_changes_ends_after_its_wait(client, store):
     store.put("t", "", "k", b"1")
-    page = client.watch("t", store.version, timedelta(milliseconds=50))
-    assert page.ok.changes == () and page.ok.version == store.version
+    page = client.watch("t", StoreVersion(1, store.version), timedelta(milliseconds=50))
+    assert page.ok.changes == () and page.ok.version.number == store.version
 
 
 def test_watch_from_discarded_history_fails(client, store):
     store.put("t", "", "k", b"1")
     store.discard_history()
-    page = client.watch("t", 0, TIMEOUT)
+    page = client.watch("t", StoreVersion(1, 0), TIMEOUT)
     assert page.error.failure is RowsFailure.HISTORY_GONE
 
 
@@ -107,3 +108,61 @@
     assert result.error.failure is RowsFailure.UNKNOWN
     monkeypatch.undo()
     assert keys(client.read("t", "")) == ["k"]
+
+
+def test_version_names_the_epoch_of_a_restored_store(client, store):
+    store.put("t", "", "k", b"1")
+    store.restore(store.copy())
+    page = client.read("t", "")
+    assert page.ok.version == page.ok.changes[0].version == StoreVersion(2, 1)
+    assert client.write([RowWrite("t", "", "k", b"2", 1)]).ok == StoreVersion(2, 2)
+
+
+def test_watch_from_a_version_that_a_restored_store_lacks_fails(client, store):
+    copy = store.copy()
+    store.put("t", "", "k", b"1")
+    store.restore(copy)
+    page = client.watch("t", StoreVersion(1, 1), TIMEOUT)
+    assert page.error.failure is RowsFailure.HISTORY_GONE and page.error.epoch == 2
+
+
+def test_watch_from_a_version_of_the_earlier_epoch_fails(client, store):
+    """The store has a version of that number again."""
+    copy = store.copy()
+    store.put("t", "", "k", b"1")
+    store.restore(copy)
+    for value in (b"2", b"3"):
+        store.put("t", "", "k", value)
+    page = client.watch("t", StoreVersion(1, 1), TIMEOUT)
+    assert page.error.failure is RowsFailure.HISTORY_GONE
+    assert client.watch("t", StoreVersion(2, 1), TIMEOUT).is_ok()
+
+
+def test_read_fails_if_the_store_is_restored_between_two_pages(
+    client, store, monkeypatch
+):
+    monkeypatch.setattr("cyclamenvane.platform.store._PAGE_ROWS", 2)
+    for number in range(4):
+        store.put("t", "", f"k{number}", b"v")
+    read, pages = store.read, []
+
+    def read_and_restore(query):
+        pages.append(read(query))
+        if len(pages) == 2:
+            store.restore(store.copy())
+        return pages[-1]
+
+    store.read = read_and_restore
+    assert client.read("t", "").error.failure is RowsFailure.HISTORY_GONE
+    assert len(keys(client.read("t", ""))) == 4
+
+
+def test_interrupted_watch_fails_at_once(client, store):
+    store.put("t", "", "k", b"1")
+    client.interrupt()
+    threading.Timer(0.1, client.interrupt).start()
+    started_at = time.monotonic()
+    page = client.watch("t", StoreVersion(1, store.version), timedelta(seconds=5))
+    assert page.error.failure is RowsFailure.UNKNOWN
+    assert time.monotonic() - started_at < 1.0
+    assert client.read("t", "").is_ok()
