Write again what a restored store has lost of leaving targets

A target announces its shutdown, its node records that, and the store is restored from an older copy: if the node is killed then, it restarts with the older record, and a late heartbeat makes the target serving again. Callers would get a target that is about to end; seen in a test only.

Cause: the record is written again by its own node alone. The nodes of its zone still know it, so the watcher writes it again, expecting the row that the store has: if the row is newer, the write fails. A restarted node gets the row as a change and compares it.

Before: the two new tests failed, the row did not say again that the target is leaving. Lost history is also no longer read again if the rows of the later epoch have come from another node meanwhile.

--- a/src/cyclamenvane/mesh/directory.py
+++ b/src/cyclamenvane/mesh/directory.py
@@ -19,7 +19,7 @@
     from ..clock import Clock
     from .model import NodeRecord
 
-__all__ = ["PeerDirectory", "Peer"]
+__all__ = ["PeerDirectory", "Peer", "supersedes"]
 
 _INITIAL_BACKOFF = timedelta(milliseconds=500)  # after a node was unreachable
 _MAX_BACKOFF = timedelta(seconds=4)
@@ -190,7 +190,7 @@
                 self._peers[record.node] = Peer(
                     record, self._clock, self._fallback_time
                 )
-            elif not _supersedes(record, peer.record):
+            elif not supersedes(record, peer.record):
                 return False
             else:
                 peer.update_record(record)
@@ -230,6 +230,10 @@
         """Return all nodes except the local one."""
         return list(self._peers.values())
 
+    def find(self, node: str) -> Peer | None:
+        """Return a node by its name, None if it is not known."""
+        return self._peers.get(node)
+
     def peers_of(self, service: str) -> list[Peer]:
         """Return the nodes whose targets belong to the service."""
         return self._peers_by_service.get(service, [])
@@ -241,7 +245,8 @@
         self._peers_by_service = index
 
 
-def _supersedes(record: NodeRecord, known: NodeRecord) -> bool:
+def supersedes(record: NodeRecord, known: NodeRecord) -> bool:
+    """Return whether a record is newer than one of the same node."""
     if record.session != known.session:
         return record.session > known.session
     old, new = known.incarnation, record.incarnation
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -13,6 +13,7 @@
 
 import eliot
 
+from .directory import supersedes
 from .publication import NODES_TABLE, RecordPublisher, decode_record
 from .replica import StoreReplica, TableCallbacks
 from .rows import RowChange, RowStore, StoreVersion
@@ -187,6 +188,8 @@
         found = {change.key for change in changes}
         for change in changes:
             self._apply_node_change(change)
+        if restored and NODES_TABLE in self._store_watch.followed():
+            self._restore_leaving_records(changes, version)
         wait = self._get_settings().store_recovery_time if restored else timedelta()
         for peer in self._directory.peers():
             if peer.record.node not in found:
@@ -195,6 +198,26 @@
         if self._get_settings().node not in found:
             self._request_publication(version)
 
+    def _restore_leaving_records(
+        self, changes: list[RowChange], version: StoreVersion
+    ) -> None:
+        """Write the zone's records of leaving targets again that the store has lost.
+
+        Their nodes may be gone, and a restarted one would not know of the shutdown.
+        """
+        rows = {each.key: each.row for each in changes}
+        for peer in self._directory.peers():
+            record = peer.record
+            if not record.leaving or record.incarnation is None:
+                continue
+            if record.zone != self._get_settings().zone:
+                continue
+            row = rows.get(record.node)
+            stored = decode_record(row.value) if row is not None else None
+            if stored is None or supersedes(record, stored):
+                expected = row.version if row else version._replace(number=0)
+                self._publisher.restore_record(record, expected)
+
     def _apply_node_change(self, change: RowChange) -> None:
         if change.key == self._get_settings().node:
             self._check_own_row(change)
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -3,12 +3,14 @@
 A record is a row of the nodes table, in the part of its zone, so that the writes
 of many starting nodes spread over the parts. Each write names the expected version
 of the row: a write that the store performs late cannot overwrite a newer one. A
-record that the store has lost, or has an older version of, is written again.
+record that the store has lost, or has an older version of, is written again; that of
+another node only if it says that its target is leaving, since that node may be gone.
 """
 
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -40,6 +42,7 @@
         self._row_version: StoreVersion | None = None
         self._written: NodeRecord | None = None
         self._outdated_at: StoreVersion | None = None
+        self._lost_records: deque[tuple[NodeRecord, StoreVersion]] = deque()
 
     def offer_row_version(self, version: StoreVersion) -> None:
         """Use the version of this node's row that was read, number 0 for none."""
@@ -55,6 +58,14 @@
             self._outdated_at = outdated_at
         self._write_requested.set()
 
+    def restore_record(self, record: NodeRecord, expected: StoreVersion) -> None:
+        """Request a write of another node's record that the store has lost.
+
+        `expected` is the version of the row that the store has, number 0 for none.
+        """
+        self._lost_records.append((record, expected))
+        self._write_requested.set()
+
     def request_write(self) -> None:
         """Request a write of the record, unless it is stored already."""
         self._write_requested.set()
@@ -65,10 +76,31 @@
             self._write_requested.wait()
             self._write_requested.clear()
             backoff = Backoff()
-            while not self._sleep.is_stopped() and not self._write():
+            while not self._sleep.is_stopped() and not self._write_all():
                 self._sleep(backoff.next_delay())
         self._store.close()
 
+    def _write_all(self) -> bool:
+        return self._write() and self._write_lost_records()
+
+    def _write_lost_records(self) -> bool:
+        while self._lost_records:
+            record, expected = self._lost_records[0]
+            result = self._store.write([_make_write(record, expected)])
+            if result.is_error() and result.error.failure is not RowsFailure.CONFLICT:
+                eliot.log_message(
+                    "node:record_not_written",
+                    key=record.node,
+                    error=result.error.detail,
+                )
+                return False
+            # After a conflict the row is newer: its node or another one has written it.
+            self._lost_records.popleft()
+            eliot.log_message(
+                "node:record_restored", node=record.node, written=result.is_ok()
+            )
+        return True
+
     def _write(self) -> bool:
         record = self.make_record()
         self._forget_outdated()
@@ -77,14 +109,7 @@
         row_version = self._row_version or self._read_row_version(record)
         if row_version is None:
             return False
-        write = RowWrite(
-            NODES_TABLE,
-            record.zone,
-            record.node,
-            encode_record(record),
-            row_version.number,
-        )
-        result = self._store.write([write])
+        result = self._store.write([_make_write(record, row_version)])
         if result.is_ok():
             self._row_version, self._written = result.ok, record
             return True
@@ -112,6 +137,11 @@
         )
 
 
+def _make_write(record: NodeRecord, expected: StoreVersion) -> RowWrite:
+    data = encode_record(record)
+    return RowWrite(NODES_TABLE, record.zone, record.node, data, expected.number)
+
+
 def encode_record(record: NodeRecord) -> bytes:
     """Return a record encoded as msgpack."""
     incarnation = record.incarnation
--- a/src/cyclamenvane/mesh/rows.py
+++ b/src/cyclamenvane/mesh/rows.py
@@ -35,6 +35,9 @@
     epoch: int
     number: int
 
+    def __str__(self) -> str:
+        return f"{self.epoch}.{self.number}"
+
 
 class RowsFailure(Enum):
     """Why a call to the store failed; only UNKNOWN may have had an effect."""
--- a/src/cyclamenvane/mesh/subscription.py
+++ b/src/cyclamenvane/mesh/subscription.py
@@ -180,7 +180,9 @@
             epoch=error.epoch,
             detail=error.detail,
         )
-        self._history_gone = True
+        known = self._replica.versions()[self._table]
+        # Another node may have relayed the rows of the restored store meanwhile.
+        self._history_gone = known is None or known.epoch == version.epoch
         again = self._read_backoff.is_retrying()
         delay = self._read_backoff.next_delay()
         if again:
--- a/tests/mesh/mesh_harness.py
+++ b/tests/mesh/mesh_harness.py
@@ -100,6 +100,14 @@
             retry_budget_window=timedelta(seconds=10),
         )
 
+    def restart(self) -> None:
+        """Start the node again, after it was killed."""
+        wait_until(lambda: not accepts_connections(self.settings.admin_listener))
+        adapter = make_adapter(self.mesh.metrics_port)
+        self.node = MeshNode(self.settings, adapter, SystemClock())
+        self.node.start()
+        wait_until(lambda: accepts_connections(self.settings.admin_listener))
+
     def send_heartbeat(self, state: str = "healthy", slots: int = 16, **changes) -> int:
         """Send a heartbeat of the target; return the HTTP status."""
         host, port = self.target.address
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -146,6 +146,35 @@
     wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
 
 
+def test_lost_shutdown_is_written_again_for_a_node_that_is_gone(zone):
+    leaving = zone.members[0]
+    copy = zone.store.copy()
+    leaving.send_heartbeat("draining")
+    name = leaving.settings.node
+    for member in zone.members[1:]:
+        wait_until(lambda: member.node.directory.find(name).record.leaving)
+    leaving.node.kill()
+    zone.store.restore(copy)
+    wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
+
+
+def test_restarted_node_knows_a_shutdown_that_the_store_has_lost(zone):
+    """A late heartbeat must not make the target serving again."""
+    leaving = zone.members[0]
+    copy = zone.store.copy()
+    leaving.send_heartbeat("draining")
+    name = leaving.settings.node
+    for member in zone.members[1:]:
+        wait_until(lambda: member.node.directory.find(name).record.leaving)
+    leaving.node.kill()
+    zone.store.restore(copy)
+    leaving.restart()
+    wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
+    time.sleep(0.5)
+    leaving.send_heartbeat()
+    assert not leaving.node.registration.is_serving()
+
+
 def test_record_overwritten_by_a_late_write_is_written_again(zone):
     """The version that a lost call expected was given out to another write."""
     member = zone.members[0]
