Log the content of a forwarded request that failed

The logs of second1 could not tell that several attempts, at several nodes, are the same request. A failed forward request now has a digest of its method, path, host and body; the request that ended a target is the one that is common to the calls that broke off.

--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from .content import digest_content
 from .forward import ForwardRequest, ForwardResult, Load, Reason, Verdict
 from .gate import Gate
 from .heads import HeaderNames, find_header, render_response_head
@@ -98,13 +99,19 @@
         result = replace(result, load=self.load(active_call))
         failed = result.verdict is not Verdict.ANSWERED or result.status >= 500
         if self._log.should_log(request.attempt, failed):
-            self._log_forward(request, result, self._clock.monotonic() - started)
+            duration = self._clock.monotonic() - started
+            self._log_forward(request, result, duration, failed)
         return result
 
     def _log_forward(
-        self, request: ForwardRequest, result: ForwardResult, duration: timedelta
+        self,
+        request: ForwardRequest,
+        result: ForwardResult,
+        duration: timedelta,
+        failed: bool,
     ) -> None:
         load = result.load
+        content = digest_content(request.head, request.body).hex() if failed else ""
         self._log.write(
             "forward:done",
             request.attempt,
@@ -121,6 +128,7 @@
             limit=load.limit,
             level=load.level,
             version=load.version,
+            content=content,
         )
 
     def _admit_and_send(
