--- a/tests/mesh/target_standin.py
+++ b/tests/mesh/target_standin.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from cyclamenvane.mesh.heads import find_header
@@ -35,22 +36,53 @@
     peak: int = 0
 
     def __post_init__(self) -> None:
+        self._lock = threading.Lock()
+        self._connections: set[socket.socket] = set()
+        self._listen((self.host, 0))
+
+    def _listen(self, address: tuple[str, int]) -> None:
         self._listener = socket.socket()
-        self._listener.bind((self.host, 0))
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
         self._listener.listen(256)
-        self._lock = threading.Lock()
         self.address = self._listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
 
     def close(self) -> None:
         self._listener.close()
 
-    def _accept(self) -> None:
+    def crash(self) -> bool:
+        """End the target: nothing listens, and its connections are closed.
+
+        Return False if it has ended already.
+        """
+        with self._lock:
+            if self._listener.fileno() < 0:
+                return False
+            # A closed socket would stay open while `accept` waits for it.
+            self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+            connections, self._connections = self._connections, set()
+        for sock in connections:
+            with suppress(OSError):  # closed by the node
+                sock.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def start_again(self, instance: str) -> None:
+        """Listen at the same address as another incarnation."""
+        self.instance = instance
+        self._listen(self.address)
+
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
+            with self._lock:
+                self._connections.add(sock)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock: socket.socket) -> None:
--- /dev/null
+++ b/tests/mesh/test_poison_request.py
@@ -0,0 +1,210 @@
+"""A request that crashes each target that runs it, and comes again through any node."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from mesh_harness import POST, route, wait_until
+
+POISON = "/items/poison"
+RUN_S = 0.03  # until a target that runs the poison request crashes
+DOWN_S = 0.4  # until the target is back
+MAX_CRASHES = 3  # the platform allows a request to end so many targets
+
+
+class PoisonedMesh:
+    """Nodes whose targets crash when they run the poison request."""
+
+    def __init__(self, mesh, targets: int) -> None:
+        self.mesh = mesh
+        self.crashes: list[str] = []
+        self._attempts = itertools.count(1)
+        self._timers: list[threading.Timer] = []
+        self.entry = mesh.add("desk", "a")
+        self.members = [mesh.add("stock", "a") for _ in range(targets)]
+        for member in self.members:
+            member.target.delay = 0.05
+            member.target.script = self._make_script(member)
+        mesh.configure(route(maxAttempts=3), route("post", "/orders/", **POST))
+        mesh.wait_until_converged()
+
+    def _make_script(self, member):
+        def run(sock, request):
+            if request.path == POISON.encode() or request.body == b"poison":
+                time.sleep(RUN_S)
+                self.crash(member)
+                return None
+            return member.target.execute(sock, request)
+
+        return run
+
+    def crash(self, member, back_after: float = DOWN_S) -> None:
+        """End a member's target, and start its next incarnation a little later."""
+        instance = member.target.instance
+        if not member.target.crash():
+            return
+        self.crashes.append(instance)
+        member.born += 1000
+        name = f"{member.target.instance.partition('.')[0]}.{member.born}"
+
+        def start_again():
+            member.target.start_again(name)
+            member.send_heartbeat()
+
+        self._timers.append(threading.Timer(back_after, start_again))
+        self._timers[-1].start()
+
+    def wait_until_back(self) -> None:
+        for timer in self._timers:
+            timer.join()
+        self._timers.clear()
+
+    def call(self, path=POISON, member=None, **fields):
+        attempt = f"{len(self.crashes)}-{next(self._attempts)}"
+        return (member or self.entry).call(path, attempt=attempt, **fields)
+
+    def call_with_resend(self, path):
+        """Call, and send the request again once after a failure, as callers do."""
+        response = self.call(path)
+        if response.status >= 500:
+            time.sleep(float(response.headers.get("retry-after", 0)))
+            response = self.call(path)
+        return response
+
+
+@pytest.fixture
+def poisoned(mesh):
+    created = PoisonedMesh(mesh, 4)
+    yield created
+    created.wait_until_back()
+
+
+def test_request_that_crashes_targets_is_not_sent_to_further_ones(poisoned):
+    """It comes again through each node, also after all targets are back."""
+    statuses = []
+    for member in [*poisoned.mesh.members, *poisoned.mesh.members]:
+        statuses.append(poisoned.call(member=member).status)
+        poisoned.wait_until_back()
+    assert len(poisoned.crashes) <= MAX_CRASHES
+    assert statuses[0] == 502, "it was run"
+    assert set(statuses[3:]) == {503}, "it was not run"
+    assert poisoned.call("/items/1").status == 200
+
+
+def test_refused_poison_request_says_when_to_come_again(poisoned):
+    for _ in range(3):
+        poisoned.call()
+        poisoned.wait_until_back()
+    response = poisoned.call()
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 1.0
+
+
+@pytest.mark.parametrize("store_is_away", [False, True])
+def test_poison_request_at_all_nodes_at_once_ends_few_targets(poisoned, store_is_away):
+    """What one node learns from a crash is known to the others in time."""
+    poisoned.mesh.store.status = 503 if store_is_away else 0
+    members = poisoned.mesh.members
+    poisoned.call()
+    poisoned.wait_until_back()
+    poisoned.call()
+    poisoned.wait_until_back()
+    time.sleep(1.0)
+    known = len(poisoned.crashes)
+    with ThreadPoolExecutor(len(members)) as executor:
+        for _ in range(3):
+            responses = executor.map(lambda each: poisoned.call(member=each), members)
+            assert {each.status for each in responses} == {503}
+    assert len(poisoned.crashes) == known <= MAX_CRASHES
+
+
+def test_poison_request_that_runs_at_most_once_is_not_sent_to_further_targets(
+    poisoned,
+):
+    statuses = []
+    for member in [*poisoned.mesh.members, *poisoned.mesh.members]:
+        response = poisoned.call(
+            "/orders/", member=member, method="POST", body=b"poison"
+        )
+        statuses.append(response.status)
+        poisoned.wait_until_back()
+    assert len(poisoned.crashes) <= MAX_CRASHES
+    assert statuses[0] == 502 and set(statuses[MAX_CRASHES:]) == {503}
+    other = poisoned.call("/orders/", method="POST", body=b"another")
+    assert other.status == 200
+
+
+def test_calls_beside_a_poison_request_are_served(poisoned):
+    """Those that its targets were running when they crashed, too, and later ones."""
+    stopped, results = threading.Event(), []
+
+    def call_on():
+        for number in itertools.count():
+            if stopped.is_set():
+                return
+            path = f"/items/{threading.get_ident()}-{number % 3}"
+            results.append(poisoned.call_with_resend(path).status)
+
+    with ThreadPoolExecutor(8) as executor:
+        for _ in range(8):
+            executor.submit(call_on)
+        time.sleep(0.3)
+        for _ in range(4):
+            poisoned.call()
+            time.sleep(0.3)
+        stopped.set()
+    assert len(poisoned.crashes) <= MAX_CRASHES
+    assert set(results) == {200}
+
+
+def test_popular_request_on_targets_that_crash_for_another_reason_is_served(poisoned):
+    """The same request runs on three targets when they end, one after the other."""
+    stopped, results = threading.Event(), []
+
+    def call_on():
+        while not stopped.is_set():
+            results.append(poisoned.call_with_resend("/items/popular").status)
+
+    with ThreadPoolExecutor(8) as executor:
+        for _ in range(8):
+            executor.submit(call_on)
+        for member in poisoned.members[:3]:
+            time.sleep(0.3)
+            poisoned.crash(member)
+        time.sleep(0.5)
+        stopped.set()
+    assert set(results) == {200}
+    poisoned.wait_until_back()
+    assert poisoned.call("/items/popular").status == 200
+
+
+def test_reset_connections_of_a_running_target_raise_no_suspicion(poisoned):
+    def reset(sock, request):
+        return None
+
+    scripts = [member.target.script for member in poisoned.members]
+    for member in poisoned.members:
+        member.target.script = reset
+    assert [poisoned.call("/items/7").status for _ in range(4)] == [502] * 4
+    for member, script in zip(poisoned.members, scripts):
+        member.target.script = script
+    assert poisoned.call("/items/7").status == 200
+
+
+def test_restarted_node_is_told_of_a_poison_request(poisoned):
+    for _ in range(3):
+        poisoned.call()
+        poisoned.wait_until_back()
+    known = len(poisoned.crashes)
+    for member in poisoned.members:
+        member.node.kill()
+        member.restart()
+        member.send_heartbeat()
+        wait_until(lambda: member.node.configuration.version() > 0)
+        time.sleep(1.0)
+        assert poisoned.call(member=member).status == 503
+    assert len(poisoned.crashes) == known <= MAX_CRASHES
