Refuse requests that crash the targets that run them

Callers of a service lost all its targets for seconds, again and again: a request that ended each target that ran it was sent to the next one at once, and again whenever its caller came back.

Cause: nothing knew a request by its content, and an idempotent call was sent to up to maxAttempts targets, whatever had become of those before. Evidence: three targets ended within 80 ms at 7.2 s, and at 12.08 s seven calls broke off at once at one node, followed by refused connections. Class of fault: a retry policy that takes each failure for the target's.

The node beside a target sees a crash and makes the calls that were running suspects; a suspect is tried once more, alone, and refused after the second crash. The nodes of the service tell each other, without the store. It works because a target is reached through its own node only, and because suspects that run one by one cannot be mistaken for each other. Looked for elsewhere: kept connections of a crashed target are closed, so later calls do not break off there.

--- a/src/cyclamenvane/mesh/content.py
+++ b/src/cyclamenvane/mesh/content.py
@@ -8,10 +8,11 @@
 
 import hashlib
 
-__all__ = ["LINE_BYTES", "digest_content", "digest_line"]
+__all__ = ["CONTENT_BYTES", "LINE_BYTES", "digest_content", "digest_line"]
 
 LINE_BYTES = 8  # the beginning of a content's digest identifies all but the body
 _BODY_BYTES = 8
+CONTENT_BYTES = LINE_BYTES + _BODY_BYTES
 _HOST = b"\r\nhost: "
 
 
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -2,8 +2,9 @@
 
 Root calls may be refused here, before any work is done for them. A call that is
 not refused is sent to targets one after another: to the next target if the call
-was certainly not run, or if its outcome is unknown and the call is idempotent.
-Retries are limited by the retry budget that all nodes share.
+was certainly not run, or if its outcome is unknown and the call is idempotent. A call
+during which a target crashed is sent to one further target, as a suspect of the
+quarantine. Retries are limited by the retry budget that all nodes share.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from .forward import NO_LOAD, ForwardRequest, ForwardResult, Reason, Verdict
 from .model import Route
 from .placement import select_peer, select_service
+from .quarantine import CRASH_LIMIT
 from .rank import ActiveCall, Rank
 from .response_size import ResponseSizes
 
@@ -148,7 +150,7 @@
 
     def _try_targets(self, call: Call, service: str, watch: Watch) -> CallResult:
         tried: set[str] = set()
-        sends = 0
+        sends = crashes = 0
         result = ForwardResult(Verdict.NOT_RUN, Reason.NO_TARGET)
         last_unknown: ForwardResult | None = None
         self._budget.add_call(service, self._node_count())
@@ -162,7 +164,7 @@
             if sends and not self._may_retry(call, service):
                 break
             tried.add(peer.record.node)
-            result = self._forward_call(call, service, peer, watch, now)
+            result = self._forward_call(call, service, peer, crashes, watch, now)
             if result.verdict is Verdict.ANSWERED:
                 self._response_sizes.update(call.route.name, len(result.body))
                 return CallResult(
@@ -177,7 +179,9 @@
                 sends += 1
             if result.verdict is Verdict.UNKNOWN:
                 last_unknown = result
-            if not self._may_try_next(call, result, sends):
+            if result.reason is Reason.CRASHED:
+                crashes += 1
+            if not self._may_try_next(call, result, sends, crashes):
                 break
         return self._make_failure_result(call, service, last_unknown or result, sends)
 
@@ -196,7 +200,13 @@
         return select_peer(peers, record.zone, tried, now, body_bytes)
 
     def _forward_call(
-        self, call: Call, service: str, peer: Peer, watch: Watch, now: timedelta
+        self,
+        call: Call,
+        service: str,
+        peer: Peer,
+        crashes: int,
+        watch: Watch,
+        now: timedelta,
     ) -> ForwardResult:
         remaining = call.deadline - now
         route = call.route
@@ -210,6 +220,7 @@
             self._max_wait(call, remaining, now),
             call.rank,
             self._get_version(),
+            crashes,
         )
         peer.record_sent()
         try:
@@ -257,15 +268,24 @@
             self._levels.update(call.route.name, result.load.level)
         if result.verdict is Verdict.ANSWERED and result.status < 500:
             peer.record_success()
-        elif result.reason in (Reason.BROKEN, Reason.TARGET_REFUSED):
+        elif result.reason in (Reason.BROKEN, Reason.CRASHED, Reason.TARGET_REFUSED):
             peer.record_fault()
         elif result.reason is Reason.LEAVING:
             peer.record_not_serving()
         if result.load.version > self._get_version():
             self._on_newer_version(result.load.version, peer.record.address)
 
-    def _may_try_next(self, call: Call, result: ForwardResult, sends: int) -> bool:
-        if result.reason in (Reason.CALLER_GONE, Reason.TIMED_OUT):
+    def _may_try_next(
+        self, call: Call, result: ForwardResult, sends: int, crashes: int
+    ) -> bool:
+        # Other nodes of the service have been told of a quarantined request.
+        if result.reason in (
+            Reason.CALLER_GONE,
+            Reason.TIMED_OUT,
+            Reason.QUARANTINED,
+        ):
+            return False
+        if crashes >= CRASH_LIMIT:
             return False
         if sends >= call.route.max_targets:
             return False
--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -37,6 +37,7 @@
     SNAPSHOT = 4
     FOLLOW = 5
     UPDATES = 6
+    QUARANTINE = 7
 
 
 class Verdict(IntEnum):
@@ -60,6 +61,8 @@
     BROKEN = 7
     UNREACHABLE = 8
     OTHER_SERVICE = 9
+    CRASHED = 10
+    QUARANTINED = 11
 
 
 @dataclass(frozen=True)
@@ -87,7 +90,8 @@
     """One call to a service, sent to the node of a target.
 
     `head` lacks the header lines that the last hop adds. `remaining` is the time
-    left until the deadline, `max_wait` the time the call may be queued.
+    left until the deadline, `max_wait` the time the call may be queued. `crashes` is
+    the number of targets that crashed while they ran it.
     """
 
     service: str
@@ -99,10 +103,11 @@
     max_wait: timedelta
     rank: Rank
     version: int
+    crashes: int = 0
 
     def pack(self) -> list[Any]:
         """Encode the request as a frame."""
-        return [
+        frame = [
             FrameKind.FORWARD,
             self.service,
             self.head,
@@ -114,6 +119,8 @@
             *self.rank,
             self.version,
         ]
+        # Nodes of an earlier release do not know the field.
+        return [*frame, self.crashes] if self.crashes else frame
 
     @classmethod
     def unpack(cls, frame: list[Any]) -> ForwardRequest:
@@ -130,6 +137,7 @@
             root,
             depth,
             version,
+            *crashes,
         ) = frame
         return cls(
             service,
@@ -141,6 +149,7 @@
             max_wait * _MICROSECOND,
             Rank(root, depth),
             version,
+            crashes[0] if crashes else 0,
         )
 
 
--- /dev/null
+++ b/src/cyclamenvane/mesh/gauges.py
@@ -0,0 +1,47 @@
+"""The state of a node as gauges."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from .quarantine import Standing
+
+if TYPE_CHECKING:
+    from .acceptor import Acceptor
+    from .configuration import CurrentConfiguration
+    from .directory import PeerDirectory
+    from .gate import Gate
+    from .idle_poller import IdlePoller
+    from .target_proxy import TargetProxy
+
+__all__ = ["measure_node"]
+
+
+def measure_node(
+    gate: Gate,
+    target_proxy: TargetProxy,
+    configuration: CurrentConfiguration,
+    directory: PeerDirectory,
+    idle_poller: IdlePoller,
+    acceptors: Mapping[str, Acceptor],
+) -> dict[str, float]:
+    """Return the values of the gauges by name; `acceptors` are named by their peers."""
+    load = gate.load()
+    quarantine = target_proxy.quarantine
+    gauges = {
+        "in_flight": load.in_flight,
+        "waiting": load.waiting,
+        "limit": load.limit,
+        "level": gate.level(),
+        "rate_limit": target_proxy.rate_limit.rate(),
+        "suspect_requests": quarantine.count(Standing.SUSPECT),
+        "quarantined_requests": quarantine.count(Standing.QUARANTINED),
+        "configuration_version": configuration.version(),
+        "parked_connections": idle_poller.count(),
+        "nodes_known": len(directory.peers()) + 1,
+    }
+    for name, acceptor in acceptors.items():
+        gauges[f"{name}_connections"] = acceptor.count()
+        gauges[f"{name}_connections_turned_away"] = acceptor.rejected
+    return gauges
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import eliot
 
@@ -21,16 +20,18 @@
 from .directory import PeerDirectory
 from .dispatch import Dispatcher
 from .gate import Gate
+from .gauges import measure_node
 from .idle_poller import IdlePoller
 from .levels import RouteLevels
 from .log import CallLog
 from .memory import BodyMemory
 from .metric import Metrics
-from .model import Address, MeshSettings, NodeRecord, Route
+from .model import Address, MeshSettings, NodeRecord
 from .peer_pool import PeerPool
 from .peer_server import PeerServer
 from .peer_sync import PeerSync
-from .rank import ActiveCall, ActiveCalls, Rank, rank_root
+from .quarantine_sync import QuarantineSync
+from .rank import ActiveCalls, make_ranker
 from .registration import Registration, TargetState
 from .report import CallReporter
 from .stop_event import StopEvent
@@ -124,6 +125,15 @@
             clock,
             self._stop_event,
         )
+        self._quarantine_sync = QuarantineSync(
+            self.target_proxy.quarantine,
+            lambda: self.settings.service,
+            self.configuration,
+            self.directory,
+            self._peers,
+            clock,
+            self._stop_event,
+        )
         self.dispatcher = self._make_dispatcher()
         self.caller_server = self._make_caller_server()
         self.store_client = StoreClient(
@@ -189,7 +199,8 @@
         for acceptor in self._acceptors:
             acceptor.start()
         self.executor.submit(self._idle_poller.run)
-        for task in (*self.store_client.tasks(), self.peer_sync.run):
+        peer_tasks = self.peer_sync.run, self._quarantine_sync.run
+        for task in (*self.store_client.tasks(), *peer_tasks):
             self.executor.submit(task)
 
     def stop(self) -> bool:
@@ -238,6 +249,7 @@
         self._stopping = True
         self._stop_event.stop()
         self.store_client.wake()
+        self._quarantine_sync.wake()
         if self._admin is not None:
             self._admin.close()
         for acceptor in self._acceptors:
@@ -265,7 +277,7 @@
             self.configuration,
             self._adapter.header_names,
             lambda: self.settings.service,
-            self._rank_call,
+            make_ranker(self._adapter.parse_ancestor_ids, self._active_calls),
             self.executor,
             BodyMemory(int(self.settings.memory_bytes * _BODY_MEMORY_SHARE)),
             self._clock,
@@ -323,28 +335,15 @@
         self._peers.close_idle(record.address)
         eliot.log_message("node:unreachable", node=record.node, zone=record.zone)
 
-    def _rank_call(
-        self, attempt: bytes | None, route: Route
-    ) -> tuple[Rank, ActiveCall | None]:
-        """Return the rank of a call, and the active call that made it, if any."""
-        ancestor_ids = self._adapter.parse_ancestor_ids(attempt or b"")
-        depth = len(ancestor_ids) - 1
-        parent = self._active_calls.find(ancestor_ids[-2]) if depth else None
-        if parent is not None:
-            return Rank(parent.rank.root, depth), parent
-        return Rank(rank_root(route.priority, ancestor_ids[0]), depth), None
-
     def _refresh_metrics(self) -> None:
-        load = self.gate.load()
-        set_gauge: Callable[[str, Any], None] = self.metrics.set_gauge
-        set_gauge("in_flight", load.in_flight)
-        set_gauge("waiting", load.waiting)
-        set_gauge("limit", load.limit)
-        set_gauge("level", self.gate.level())
-        set_gauge("rate_limit", self.target_proxy.rate_limit.rate())
-        set_gauge("configuration_version", self.configuration.version())
-        set_gauge("parked_connections", self._idle_poller.count())
-        set_gauge("nodes_known", len(self.directory.peers()) + 1)
-        for name, acceptor in zip(("caller", "peer"), self._acceptors):
-            set_gauge(f"{name}_connections", acceptor.count())
-            set_gauge(f"{name}_connections_turned_away", acceptor.rejected)
+        acceptors = dict(zip(("caller", "peer"), self._acceptors))
+        gauges = measure_node(
+            self.gate,
+            self.target_proxy,
+            self.configuration,
+            self.directory,
+            self._idle_poller,
+            acceptors,
+        )
+        for name, value in gauges.items():
+            self.metrics.set_gauge(name, value)
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -1,6 +1,7 @@
 """Server for frames from other nodes.
 
-They are forwarded calls, hellos, and requests for snapshots and for updates.
+They are forwarded calls, hellos, entries of the quarantine, and requests for snapshots
+and for updates.
 """
 
 from __future__ import annotations
@@ -74,6 +75,12 @@
             return self._target_proxy.execute(request, watch).pack()
         if kind == FrameKind.FOLLOW:
             return self._relay.answer(frame)
+        if kind == FrameKind.QUARANTINE:
+            try:
+                self._target_proxy.quarantine.merge(frame[1])
+            except (IndexError, ValueError, TypeError) as error:
+                raise FrameError(f"invalid quarantine frame: {error}") from error
+            return [FrameKind.QUARANTINE]
         if kind == FrameKind.SNAPSHOT:
             return self._peer_sync.make_snapshot()
         if kind == FrameKind.HELLO:
--- a/src/cyclamenvane/mesh/rank.py
+++ b/src/cyclamenvane/mesh/rank.py
@@ -9,12 +9,16 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..calls import RANKS, Importance, rank_call
 
-__all__ = ["ActiveCall", "ActiveCalls", "Rank", "rank_root"]
+if TYPE_CHECKING:
+    from .model import Route
+
+__all__ = ["ActiveCall", "ActiveCalls", "Rank", "make_ranker", "rank_root"]
 
 
 class Rank(NamedTuple):
@@ -78,3 +82,23 @@
     def find(self, attempt: bytes) -> ActiveCall | None:
         """Return the call with this attempt, or None if it is not active."""
         return self._calls.get(attempt)
+
+
+def make_ranker(
+    parse_ancestor_ids: Callable[[bytes], tuple[bytes, ...]],
+    active_calls: ActiveCalls,
+) -> Callable[[bytes | None, Route], tuple[Rank, ActiveCall | None]]:
+    """Return a function that ranks a call.
+
+    It also returns the active call at the local target that made the call, if any.
+    """
+
+    def rank(attempt: bytes | None, route: Route) -> tuple[Rank, ActiveCall | None]:
+        ancestor_ids = parse_ancestor_ids(attempt or b"")
+        depth = len(ancestor_ids) - 1
+        parent = active_calls.find(ancestor_ids[-2]) if depth else None
+        if parent is not None:
+            return Rank(parent.rank.root, depth), parent
+        return Rank(rank_root(route.priority, ancestor_ids[0]), depth), None
+
+    return rank
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
@@ -13,9 +14,11 @@
 from typing import TYPE_CHECKING
 
 from .content import digest_content
+from .crash import RunningCalls
 from .forward import ForwardRequest, ForwardResult, Load, Reason, Verdict
 from .gate import Gate
 from .heads import HeaderNames, find_header, render_response_head
+from .quarantine import Quarantine, Standing
 from .rank import ActiveCall, ActiveCalls, Rank
 from .rate_limit import RateLimit
 from .upstream import ExchangeOutcome, ExchangeResult, Upstream
@@ -34,6 +37,8 @@
 _RESPONSE_MARGIN = timedelta(milliseconds=30)
 _MIN_REMAINING = timedelta(milliseconds=5)  # the target discards calls with less
 _MIN_RETRY_AFTER = timedelta(milliseconds=100)
+# A quarantined request may be sent again only after minutes.
+_QUARANTINED_RETRY_AFTER = timedelta(seconds=10)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -66,6 +71,9 @@
         self.leaving = False
         self.closed = False
         self.rate_limit = RateLimit(clock)
+        self.quarantine = Quarantine(clock)
+        self._running = RunningCalls(self.quarantine, upstream.accepts_connections)
+        self._suspect_turn = threading.Lock()
         self._limited_incarnation: Incarnation | None = None
 
     def load(self, active_call: ActiveCall | None = None) -> Load:
@@ -93,7 +101,7 @@
         started = self._clock.monotonic()
         active_call = self._active_calls.begin(request.attempt, request.rank)
         try:
-            result = self._admit_and_send(request, watch, started)
+            result = self._check_and_send(request, watch, started)
         finally:
             self._active_calls.end(request.attempt)
         result = replace(result, load=self.load(active_call))
@@ -131,8 +139,42 @@
             content=content,
         )
 
-    def _admit_and_send(
+    def _check_and_send(
         self, request: ForwardRequest, watch: Watch, now: timedelta
+    ) -> ForwardResult:
+        standing, content = self.quarantine.check(request.head, request.body)
+        if standing is Standing.QUARANTINED:
+            detail = f"targets crashed while they ran the request {content.hex()}"
+            return replace(
+                _not_run(Reason.QUARANTINED),
+                retry_after=_QUARANTINED_RETRY_AFTER,
+                detail=detail,
+            )
+        if standing is Standing.SUSPECT or request.crashes:
+            content = content or digest_content(request.head, request.body)
+            return self._send_suspect(request, content, watch, now)
+        return self._admit_and_send(request, False, watch, now)
+
+    def _send_suspect(
+        self, request: ForwardRequest, content: bytes, watch: Watch, now: timedelta
+    ) -> ForwardResult:
+        """Send a request that may crash the target, while no other such one runs."""
+        wait = min(request.remaining - _MIN_REMAINING, request.max_wait)
+        if not self._suspect_turn.acquire(timeout=max(0.0, wait.total_seconds())):
+            detail = "another suspect of a crash is running"
+            return replace(_not_run(Reason.NO_ROOM), detail=detail)
+        try:
+            if not watch.is_caller_connected():
+                return _not_run(Reason.CALLER_GONE)
+            result = self._admit_and_send(request, True, watch, now)
+        finally:
+            self._suspect_turn.release()
+        if result.verdict is Verdict.ANSWERED:
+            self.quarantine.clear(content)
+        return result
+
+    def _admit_and_send(
+        self, request: ForwardRequest, suspect: bool, watch: Watch, now: timedelta
     ) -> ForwardResult:
         deadline = now + request.remaining
         if request.service != self._registration.service:
@@ -161,7 +203,7 @@
         try:
             if admission.caller_gone:
                 return _not_run(Reason.CALLER_GONE)
-            return self._send(request, deadline, watch)
+            return self._send(request, suspect, deadline, watch)
         finally:
             self._gate.release(self._clock.monotonic() - started)
 
@@ -173,7 +215,11 @@
         return self.rate_limit.take(rank)
 
     def _send(
-        self, request: ForwardRequest, deadline: timedelta, watch: Watch
+        self,
+        request: ForwardRequest,
+        suspect: bool,
+        deadline: timedelta,
+        watch: Watch,
     ) -> ForwardResult:
         incarnation = self._registration.serving_incarnation()
         if incarnation is None:
@@ -192,14 +238,24 @@
         )
         if request.body or not request.head.startswith((b"GET ", b"HEAD ")):
             head += b"Content-Length: %d\r\n" % len(request.body)
-        exchange = self._upstream.exchange(
-            head + b"\r\n",
-            request.body,
-            request.attempt,
-            request.idempotent,
-            watch,
-            deadline + _RESPONSE_MARGIN,
-        )
+        number = self._running.begin(request, incarnation, suspect)
+        try:
+            exchange = self._upstream.exchange(
+                head + b"\r\n",
+                request.body,
+                request.attempt,
+                request.idempotent,
+                watch,
+                deadline + _RESPONSE_MARGIN,
+            )
+            if exchange.outcome is ExchangeOutcome.BROKEN:
+                leaving = not self._registration.is_serving()
+                if self._running.has_crashed_target(number, leaving):
+                    self._upstream.close_idle()
+                    detail = f"{incarnation.instance} crashed: {exchange.detail}"
+                    return ForwardResult(Verdict.UNKNOWN, Reason.CRASHED, detail=detail)
+        finally:
+            self._running.end(number)
         if exchange.outcome is ExchangeOutcome.ANSWERED:
             self.rate_limit.update(
                 find_header(exchange.headers, header_names.rate_limit)
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -135,6 +135,18 @@
             else:
                 sock.close()
 
+    def accepts_connections(self) -> bool:
+        """Return whether the target accepts connections, by opening one for later."""
+        try:
+            sock = open_connection(self._address, _CONNECT_TIMEOUT)
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True  # too slow, which does not show that it has ended
+        self.opened += 1
+        self._store_idle(sock, [])
+        return True
+
     def set_address(self, address: Address) -> None:
         """Use another target address; close idle connections to the old one."""
         if address != self._address:
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -113,6 +113,26 @@
     assert len(nodes.requests) == 3, "a call is sent to at most two targets"
 
 
+def test_call_during_which_targets_crash_is_sent_on_once_and_as_a_suspect(
+    dispatcher, nodes, clock
+):
+    nodes.outcome = ForwardResult(Verdict.UNKNOWN, Reason.CRASHED, load=LOAD)
+    assert dispatcher.serve(make_call(clock, max_targets=4), WATCH).status == 502
+    assert [request.crashes for request in nodes.requests] == [0, 1]
+
+
+def test_quarantined_call_is_refused_without_trying_other_nodes(
+    dispatcher, nodes, clock
+):
+    wait = timedelta(seconds=10)
+    nodes.outcome = ForwardResult(
+        Verdict.NOT_RUN, Reason.QUARANTINED, retry_after=wait, load=LOAD
+    )
+    result = dispatcher.serve(make_call(clock), WATCH)
+    assert result.status == 503 and result.retry_after > timedelta(seconds=1)
+    assert len(nodes.requests) == 1
+
+
 def test_timeout_after_sending_is_not_reported_as_refusal(dispatcher, nodes, clock):
     nodes.outcome = ForwardResult(Verdict.UNKNOWN, Reason.TIMED_OUT, load=LOAD)
     result = dispatcher.serve(make_call(clock), WATCH)
