Clear a request that a target answers, whenever it began

A popular request could be refused for good: it runs at many targets, two of them crash for other reasons while it is tried there alone, and from then on it is refused wherever it comes. Answers of the same request that was running elsewhere at that time did not count, since it was no suspect when it began. Seen on reading; the new test fails without the fix: the request stays refused after another target has answered it.

Each answer clears its request now. That costs a lookup in an empty table as long as there are no entries, as the check before sending does.

--- a/src/cyclamenvane/mesh/quarantine.py
+++ b/src/cyclamenvane/mesh/quarantine.py
@@ -80,23 +80,22 @@
         self._lock = threading.Lock()
         self.changed = threading.Event()
 
-    def check(self, head: bytes, body: bytes) -> tuple[Standing, bytes]:
-        """Return the standing of a request, and its content unless it is clear."""
-        # Read without the lock: nearly always there are no entries.
-        if not self._lines or digest_line(head) not in self._lines:
-            return Standing.CLEAR, b""
-        content = digest_content(head, body)
+    def check(self, head: bytes, body: bytes) -> Standing:
+        """Return the standing of a request that is about to be sent."""
+        content = self._find_content(head, body)
+        if content is None:
+            return Standing.CLEAR
         with self._lock:
             self._drop_expired()
             entry = self._entries.get(content)
             if entry is None:
-                return Standing.CLEAR, b""
+                return Standing.CLEAR
             standing = entry.standing()
             if standing is Standing.QUARANTINED:
                 left = entry.expires_at - self._clock.monotonic()
                 if left < _QUARANTINE_TTL * _RENEWAL_SHARE:
                     self._announce(entry)
-        return standing, content
+        return standing
 
     def record_crash(self, contents: Collection[bytes], instance: str) -> None:
         """Record the requests that may have crashed a target."""
@@ -111,8 +110,11 @@
                 self._announce(entry)
                 _report(content, entry)
 
-    def clear(self, content: bytes) -> None:
+    def clear(self, head: bytes, body: bytes) -> None:
         """Record that a target has answered a request."""
+        content = self._find_content(head, body)
+        if content is None:
+            return
         with self._lock:
             entry = self._entries.get(content)
             if entry is not None and entry.crashes():
@@ -161,6 +163,13 @@
             entries = list(self._entries.values())
         return sum(entry.standing() is standing for entry in entries)
 
+    def _find_content(self, head: bytes, body: bytes) -> bytes | None:
+        """Return the content of a request, None if there can be no entry of it."""
+        # Read without the lock: nearly always there are no entries.
+        if not self._lines or digest_line(head) not in self._lines:
+            return None
+        return digest_content(head, body)
+
     def _get_entry(self, content: bytes) -> _Entry:
         entry = self._entries.get(content)
         if entry is None:
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -142,21 +142,26 @@
     def _check_and_send(
         self, request: ForwardRequest, watch: Watch, now: timedelta
     ) -> ForwardResult:
-        standing, content = self.quarantine.check(request.head, request.body)
+        standing = self.quarantine.check(request.head, request.body)
         if standing is Standing.QUARANTINED:
-            detail = f"targets crashed while they ran the request {content.hex()}"
+            content = digest_content(request.head, request.body).hex()
+            detail = f"targets crashed while they ran the request {content}"
             return replace(
                 _not_run(Reason.QUARANTINED),
                 retry_after=_QUARANTINED_RETRY_AFTER,
                 detail=detail,
             )
         if standing is Standing.SUSPECT or request.crashes:
-            content = content or digest_content(request.head, request.body)
-            return self._send_suspect(request, content, watch, now)
-        return self._admit_and_send(request, False, watch, now)
+            result = self._send_suspect(request, watch, now)
+        else:
+            result = self._admit_and_send(request, False, watch, now)
+        if result.verdict is Verdict.ANSWERED:
+            # Also if the call began before a target crashed.
+            self.quarantine.clear(request.head, request.body)
+        return result
 
     def _send_suspect(
-        self, request: ForwardRequest, content: bytes, watch: Watch, now: timedelta
+        self, request: ForwardRequest, watch: Watch, now: timedelta
     ) -> ForwardResult:
         """Send a request that may crash the target, while no other such one runs."""
         wait = min(request.remaining - _MIN_REMAINING, request.max_wait)
@@ -166,12 +171,9 @@
         try:
             if not watch.is_caller_connected():
                 return _not_run(Reason.CALLER_GONE)
-            result = self._admit_and_send(request, True, watch, now)
+            return self._admit_and_send(request, True, watch, now)
         finally:
             self._suspect_turn.release()
-        if result.verdict is Verdict.ANSWERED:
-            self.quarantine.clear(content)
-        return result
 
     def _admit_and_send(
         self, request: ForwardRequest, suspect: bool, watch: Watch, now: timedelta
--- a/tests/mesh/test_poison_request.py
+++ b/tests/mesh/test_poison_request.py
@@ -10,7 +10,11 @@
 import pytest
 from mesh_harness import POST, route, wait_until
 
+from cyclamenvane.mesh.content import digest_content
+from cyclamenvane.mesh.quarantine import Standing
+
 POISON = "/items/poison"
+POPULAR_HEAD = b"GET /items/popular HTTP/1.1\r\nhost: shop.example\r\n"
 RUN_S = 0.03  # until a target that runs the poison request crashes
 DOWN_S = 0.4  # until the target is back
 MAX_CRASHES = 3  # the platform allows a request to end so many targets
@@ -182,6 +186,32 @@
     assert poisoned.call("/items/popular").status == 200
 
 
+def test_answer_of_a_request_that_began_before_clears_it_at_all_nodes(poisoned):
+    """It ran at one target while two others crashed during the same request."""
+    for member in poisoned.members:
+        member.target.delay = 0.8
+    with ThreadPoolExecutor(1) as executor:
+        call = executor.submit(poisoned.call, "/items/popular")
+
+        def list_running():
+            return [each for each in poisoned.members if each.target.executed]
+
+        wait_until(list_running)
+        (running,) = list_running()
+        quarantine = running.node.target_proxy.quarantine
+        for instance in ("i-8", "i-9"):
+            quarantine.record_crash([digest_content(POPULAR_HEAD, b"")], instance)
+        time.sleep(0.2)
+        assert poisoned.call("/items/popular").status == 503
+        assert call.result().status == 200
+
+    def is_clear(member):
+        quarantine = member.node.target_proxy.quarantine
+        return quarantine.check(POPULAR_HEAD, b"") is Standing.CLEAR
+
+    wait_until(lambda: all(is_clear(member) for member in poisoned.members), 2.0)
+
+
 def test_reset_connections_of_a_running_target_raise_no_suspicion(poisoned):
     def reset(sock, request):
         return None
--- a/tests/mesh/test_quarantine.py
+++ b/tests/mesh/test_quarantine.py
@@ -33,7 +33,7 @@
 
 
 def standing(quarantine, head=HEAD, body=b""):
-    return quarantine.check(head, body)[0]
+    return quarantine.check(head, body)
 
 
 def test_requests_of_one_crash_are_suspects(quarantine):
@@ -48,7 +48,7 @@
 def test_second_crash_of_a_single_suspect_quarantines_it(quarantine):
     quarantine.record_crash([CONTENT, b"0" * 16], "i-1")
     quarantine.record_crash([CONTENT], "i-2")
-    assert quarantine.check(HEAD, b"") == (Standing.QUARANTINED, CONTENT)
+    assert standing(quarantine) is Standing.QUARANTINED
     assert quarantine.count(Standing.QUARANTINED) == 1
     assert quarantine.count(Standing.SUSPECT) == 1
 
@@ -67,7 +67,7 @@
 
 def test_answer_clears_a_suspect_until_the_next_crash(quarantine):
     quarantine.record_crash([CONTENT], "i-1")
-    quarantine.clear(CONTENT)
+    quarantine.clear(HEAD, b"")
     assert standing(quarantine) is Standing.CLEAR
     quarantine.record_crash([CONTENT], "i-2")
     assert standing(quarantine) is Standing.SUSPECT
@@ -106,7 +106,7 @@
             instance = data.draw(st.sampled_from(["i-1", "i-2", "i-3"]))
             node.record_crash([CONTENT, b"0" * 16][:count], instance)
         else:
-            node.clear(CONTENT)
+            node.clear(HEAD, b"")
     packed = [node.entries_since(-1)[0] for node in nodes]
     for node in nodes:
         for entries in data.draw(st.permutations(packed)):
