Do not clear a request that a target answers with a failure

A request that crashes targets may reach its deadline while a target runs it, and be answered 504: it was cleared, and the next attempts ended further targets. Seen on reading; the new test fails without the fix. Only an answer below 500 clears a request.

--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -155,8 +155,9 @@
             result = self._send_suspect(request, watch, now)
         else:
             result = self._admit_and_send(request, False, watch, now)
-        if result.verdict is Verdict.ANSWERED:
-            # Also if the call began before a target crashed.
+        if result.verdict is Verdict.ANSWERED and result.status < 500:
+            # Also if the call began before a target crashed. A target that answers 504
+            # at the deadline may not have got as far as to crash.
             self.quarantine.clear(request.head, request.body)
         return result
 
--- a/tests/mesh/test_poison_request.py
+++ b/tests/mesh/test_poison_request.py
@@ -9,6 +9,7 @@
 
 import pytest
 from mesh_harness import POST, route, wait_until
+from target_standin import make_response
 
 from cyclamenvane.mesh.content import digest_content
 from cyclamenvane.mesh.quarantine import Standing
@@ -212,6 +213,20 @@
     wait_until(lambda: all(is_clear(member) for member in poisoned.members), 2.0)
 
 
+def test_target_that_answers_504_does_not_clear_a_suspect(poisoned):
+    """A poison request may reach its deadline before it crashes the target."""
+    for member in poisoned.members:
+        member.target.script = lambda sock, request: make_response(
+            request, b"", b"504 Gateway Timeout"
+        )
+        quarantine = member.node.target_proxy.quarantine
+        quarantine.record_crash([digest_content(POPULAR_HEAD, b"")], "i-8")
+    assert poisoned.call("/items/popular").status == 504
+    for member in poisoned.members:
+        quarantine = member.node.target_proxy.quarantine
+        assert quarantine.check(POPULAR_HEAD, b"") is Standing.SUSPECT
+
+
 def test_reset_connections_of_a_running_target_raise_no_suspicion(poisoned):
     def reset(sock, request):
         return None
