Count only crashes since the last answer towards an entry's bound

A request that was a suspect eight times and answered each time could not become one again, so it could have crashed targets without end. Seen on reading; the new test fails without the fix. The bound on an entry's targets counted those that an answer had cleared.

--- a/src/cyclamenvane/mesh/quarantine.py
+++ b/src/cyclamenvane/mesh/quarantine.py
@@ -32,7 +32,7 @@
 # One crash may have another cause, a second one of a single suspect is no coincidence.
 CRASH_LIMIT = 2
 _MAX_ENTRIES = 1024  # about 300 bytes each
-_MAX_INSTANCES = 8  # of an entry; more of them change nothing
+_MAX_CRASHES = 8  # of an entry that is not cleared; more of them change nothing
 _SUSPECT_TTL = timedelta(minutes=1)  # after the last crash
 _QUARANTINE_TTL = timedelta(minutes=10)  # after the request last came
 _RENEWAL_SHARE = 0.5  # of the TTL; an entry that is refused is renewed after it
@@ -102,7 +102,7 @@
         with self._lock:
             for content in contents:
                 entry = self._get_entry(content)
-                if len(entry.crashed) >= _MAX_INSTANCES:
+                if entry.crashes() >= _MAX_CRASHES:
                     continue
                 entry.crashed.add(instance)
                 if len(contents) == 1:
@@ -149,9 +149,9 @@
                     raise ValueError("not the digest of a content")
                 entry = self._get_entry(content)
                 before = entry.standing()
-                entry.crashed.update(crashed[:_MAX_INSTANCES])
-                entry.alone.update(alone[:_MAX_INSTANCES])
-                entry.cleared.update(cleared[:_MAX_INSTANCES])
+                entry.crashed.update(crashed)
+                entry.alone.update(alone)
+                entry.cleared.update(cleared)
                 self._extend(entry)
                 if entry.standing() is not before:
                     _report(content, entry)
--- a/tests/mesh/test_quarantine.py
+++ b/tests/mesh/test_quarantine.py
@@ -73,6 +73,17 @@
     assert standing(quarantine) is Standing.SUSPECT
 
 
+def test_request_that_was_cleared_often_can_still_be_quarantined(quarantine):
+    for number in range(20):
+        quarantine.record_crash([CONTENT], f"i-{number}")
+        quarantine.clear(HEAD, b"")
+    other = Quarantine(ManualClock())
+    for instance in ("j-1", "j-2"):
+        quarantine.record_crash([CONTENT], instance)
+    other.merge(quarantine.entries_since(-1)[0])
+    assert standing(quarantine) is standing(other) is Standing.QUARANTINED
+
+
 def test_entries_expire_unless_the_request_comes_again(quarantine, clock):
     quarantine.record_crash([b"0" * 16], "i-1")
     for instance in ("i-1", "i-2"):
