Keep a suspect as long as a quarantined request

A request that must not be repeated and comes again after more than a minute ended a target each time: its first crash was forgotten by then. Seen on reading; the new test fails without the fix. Suspects expire after ten minutes, entries that were cleared after one. When there are too many, quarantined requests are dropped last.

--- a/src/cyclamenvane/mesh/quarantine.py
+++ b/src/cyclamenvane/mesh/quarantine.py
@@ -33,8 +33,9 @@
 CRASH_LIMIT = 2
 _MAX_ENTRIES = 1024  # about 300 bytes each
 _MAX_CRASHES = 8  # of an entry that is not cleared; more of them change nothing
-_SUSPECT_TTL = timedelta(minutes=1)  # after the last crash
-_QUARANTINE_TTL = timedelta(minutes=10)  # after the request last came
+# After the last crash, or after a quarantined request last came.
+_TTL = timedelta(minutes=10)
+_CLEARED_TTL = timedelta(minutes=1)  # for other nodes to be told
 _RENEWAL_SHARE = 0.5  # of the TTL; an entry that is refused is renewed after it
 
 
@@ -93,7 +94,7 @@
             standing = entry.standing()
             if standing is Standing.QUARANTINED:
                 left = entry.expires_at - self._clock.monotonic()
-                if left < _QUARANTINE_TTL * _RENEWAL_SHARE:
+                if left < _TTL * _RENEWAL_SHARE:
                     self._announce(entry)
         return standing
 
@@ -186,19 +187,19 @@
         self.changed.set()
 
     def _extend(self, entry: _Entry) -> None:
-        quarantined = entry.standing() is Standing.QUARANTINED
-        ttl = _QUARANTINE_TTL if quarantined else _SUSPECT_TTL
+        ttl = _TTL if entry.crashes() else _CLEARED_TTL
         entry.expires_at = self._clock.monotonic() + ttl
 
     def _make_room(self, added: bytes) -> None:
-        """Drop the entry that expires first, suspects before quarantined requests."""
+        """Drop the entry that expires first, quarantined requests last."""
         if len(self._entries) <= _MAX_ENTRIES:
             return
-        dropped = min(
-            (content for content in self._entries if content != added),
-            key=lambda content: self._entries[content].expires_at,
-        )
-        self._remove(dropped)
+
+        def order(content: bytes) -> tuple[bool, timedelta]:
+            entry = self._entries[content]
+            return entry.standing() is Standing.QUARANTINED, entry.expires_at
+
+        self._remove(min((key for key in self._entries if key != added), key=order))
 
     def _drop_expired(self) -> None:
         now = self._clock.monotonic()
--- a/tests/mesh/test_quarantine.py
+++ b/tests/mesh/test_quarantine.py
@@ -96,9 +96,18 @@
     assert standing(quarantine) is Standing.CLEAR and quarantine.is_empty()
 
 
+def test_suspect_that_comes_again_after_minutes_is_quarantined(quarantine, clock):
+    quarantine.record_crash([CONTENT, b"0" * 16], "i-1")
+    clock.advance(300)
+    assert standing(quarantine) is Standing.SUSPECT
+    quarantine.record_crash([CONTENT], "i-2")
+    assert standing(quarantine) is Standing.QUARANTINED
+
+
 def test_number_of_entries_is_bounded_and_quarantined_ones_are_kept(quarantine, clock):
     for instance in ("i-1", "i-2"):
         quarantine.record_crash([CONTENT], instance)
+    clock.advance(200)  # the entry is not renewed, and expires first
     for number in range(3000):
         clock.advance(0.001)
         quarantine.record_crash([b"%016d" % number], f"i-{number}")
