--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -128,7 +128,7 @@
             page = store.read(NODES_TABLE, self._get_settings().zone)
             self._on_store_result(page.is_ok(), NODES_TABLE)
             if page.is_ok():
-                self._apply_zone(page.ok.changes, page.ok.version.epoch)
+                self._apply_zone(page.ok.changes, page.ok.version)
             if self.list_zone() or (page.is_ok() and waited):
                 break
             if page.is_ok():
@@ -149,13 +149,13 @@
             and not peer.is_unreachable()
         ]
 
-    def _apply_zone(self, changes: Sequence[RowChange], epoch: int) -> None:
-        version = StoreVersion(epoch, 0)
+    def _apply_zone(self, changes: Sequence[RowChange], version: StoreVersion) -> None:
+        own_version = version.of_missing_row()
         for change in changes:
             self._apply_node_change(change)
             if change.key == self._get_settings().node and change.row is not None:
-                version = change.row.version
-        self._publisher.offer_row_version(version)
+                own_version = change.row.version
+        self._publisher.offer_row_version(own_version)
 
     def apply_configurations(self, changes: list[RowChange]) -> None:
         """Apply the configuration if its row is among the changes."""
@@ -215,7 +215,7 @@
             row = rows.get(record.node)
             stored = decode_record(row.value) if row is not None else None
             if stored is None or supersedes(record, stored):
-                expected = row.version if row else version._replace(number=0)
+                expected = row.version if row else version.of_missing_row()
                 self._publisher.restore_record(record, expected)
 
     def _apply_node_change(self, change: RowChange) -> None:
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -131,10 +131,10 @@
         page = self._store.read(NODES_TABLE, record.zone)
         if page.is_error():
             return None
-        rows = [each.row for each in page.ok.changes if each.key == record.node]
-        return (
-            rows[0].version if rows and rows[0] else page.ok.version._replace(number=0)
-        )
+        for change in page.ok.changes:
+            if change.key == record.node and change.row is not None:
+                return change.row.version
+        return page.ok.version.of_missing_row()
 
 
 def _make_write(record: NodeRecord, expected: StoreVersion) -> RowWrite:
--- a/src/cyclamenvane/mesh/rows.py
+++ b/src/cyclamenvane/mesh/rows.py
@@ -35,6 +35,10 @@
     epoch: int
     number: int
 
+    def of_missing_row(self) -> StoreVersion:
+        """Return the version to expect of a row that did not exist at this one."""
+        return StoreVersion(self.epoch, 0)
+
     def __str__(self) -> str:
         return f"{self.epoch}.{self.number}"
 
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -190,11 +190,10 @@
 
 def _decode_row(document: dict[str, Any], epoch: int) -> RowChange:
     part, key = document.get("part", ""), document["key"]
-    number = document.get("rowVersion")
     if document.get("deleted"):
-        version = StoreVersion(epoch, int(number)) if number else None
-        return RowChange(part, key, None, version)
-    value, version = base64.b64decode(document["value"]), StoreVersion(
-        epoch, int(number)
-    )
-    return RowChange(part, key, StoredRow(part, key, value, version), version)
+        number = int(document.get("rowVersion", 0))
+        deleted_at = StoreVersion(epoch, number) if number else None
+        return RowChange(part, key, None, deleted_at)
+    version = StoreVersion(epoch, int(document["rowVersion"]))
+    row = StoredRow(part, key, base64.b64decode(document["value"]), version)
+    return RowChange(part, key, row, version)
