--- a/src/cyclamenvane/mesh/quarantine.py
+++ b/src/cyclamenvane/mesh/quarantine.py
@@ -31,7 +31,7 @@
 
 # One crash may have another cause, a second one of a single suspect is no coincidence.
 CRASH_LIMIT = 2
-_MAX_ENTRIES = 1024  # about 300 bytes each
+_MAX_ENTRIES = 1024  # about 1.6 KB each
 _MAX_CRASHES = 8  # of an entry that is not cleared; more of them change nothing
 # After the last crash, or after a quarantined request last came.
 _TTL = timedelta(minutes=10)
