--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -146,28 +146,27 @@
     wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
 
 
-def test_lost_shutdown_is_written_again_for_a_node_that_is_gone(zone):
-    leaving = zone.members[0]
-    copy = zone.store.copy()
+def lose_shutdown(mesh):
+    """Restore the store to before a target's shutdown; return the killed member."""
+    leaving, *others = mesh.members
+    copy = mesh.store.copy()
     leaving.send_heartbeat("draining")
     name = leaving.settings.node
-    for member in zone.members[1:]:
+    for member in others:
         wait_until(lambda: member.node.directory.find(name).record.leaving)
     leaving.node.kill()
-    zone.store.restore(copy)
+    mesh.store.restore(copy)
+    return leaving
+
+
+def test_lost_shutdown_is_written_again_for_a_node_that_is_gone(zone):
+    leaving = lose_shutdown(zone)
     wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
 
 
 def test_restarted_node_knows_a_shutdown_that_the_store_has_lost(zone):
     """A late heartbeat must not make the target serving again."""
-    leaving = zone.members[0]
-    copy = zone.store.copy()
-    leaving.send_heartbeat("draining")
-    name = leaving.settings.node
-    for member in zone.members[1:]:
-        wait_until(lambda: member.node.directory.find(name).record.leaving)
-    leaving.node.kill()
-    zone.store.restore(copy)
+    leaving = lose_shutdown(zone)
     leaving.restart()
     wait_until(lambda: stored_record(zone, leaving).leaving, STABLE_WINDOW_S)
     time.sleep(0.5)
