Do not send a rejected attempt on the connection that rejected it

Callers saw calls that may run once run twice, and a 503, which says "not run", for calls that had run.

Cause: a rejected call may be sent to the same target again, with the same attempt header, and the pool hands out the connection used last. A late duplicate of the rejection is then taken for the response to the call that is running, as the header is the same.

A pooled connection now remembers the attempts that were rejected on it and does not carry them again, so the header identifies each late response. After 64 rejections it is closed, which bounds what it remembers.

--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -19,6 +19,7 @@
     "Headers",
     "find_header",
     "find_remaining_time",
+    "is_rejection",
     "parse_destination",
     "render_request_head",
     "render_response_head",
@@ -79,6 +80,15 @@
     return None
 
 
+def is_rejection(
+    status: int, headers: Iterable[tuple[bytes, bytes]], header_names: HeaderNames
+) -> bool:
+    """Return whether a target's response says that it has not run the request."""
+    return status == HTTPStatus.MISDIRECTED_REQUEST or (
+        find_header(headers, header_names.not_run) is not None
+    )
+
+
 def find_remaining_time(
     headers: Iterable[tuple[bytes, bytes]], name: bytes
 ) -> timedelta | None:
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -1,7 +1,8 @@
 """Connection pool to the local target, and request/response exchanges on it.
 
 A connection carries one request at a time. It is reused only if the response ended
-at its declared length and no further data followed.
+at its declared length and no further data followed. It does not carry an attempt again
+that was rejected on it: a late duplicate of the rejection has the same attempt header.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from typing import TYPE_CHECKING
 
 from .connection import RECEIVE_BYTES, is_idle, open_connection, send_all
-from .heads import HeaderNames, Headers, find_header
+from .heads import HeaderNames, Headers, find_header, is_rejection
 from .message import ResponseReader
 from .watch import WaitResult, Watch
 
@@ -38,6 +39,8 @@
 # than any idle timeout.
 _UNCHECKED_IDLE = timedelta(milliseconds=200)
 _KEEP_ALIVE_FRACTION = 0.5  # of the advertised idle timeout
+# A connection with more of them is closed, as it cannot remember them all.
+_MAX_REJECTED_ATTEMPTS = 64
 
 
 class ExchangeOutcome(Enum):
@@ -75,11 +78,17 @@
         self.detail = detail
 
 
-class _IdleConnection:
-    def __init__(self, sock: socket.socket, since: timedelta, until: timedelta) -> None:
+class _Connection:
+    """A connection to the target; `since` and `until` bound the time it is idle.
+
+    `rejected` has the hashes of the attempts that were rejected on it.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.since = since
-        self.until = until
+        self.since = timedelta()
+        self.until = timedelta()
+        self.rejected: set[int] = set()
 
 
 class Upstream:
@@ -96,7 +105,7 @@
         self._max_body_bytes = max_body_bytes
         self._header_names = header_names
         self._clock = clock
-        self._idle: deque[_IdleConnection] = deque()
+        self._idle: deque[_Connection] = deque()
         self._lock = threading.Lock()
         self.opened = 0
 
@@ -113,15 +122,18 @@
 
         `until` is in monotonic time. Connection errors are reported in the result.
         """
-        sock = self._take_idle(check=not idempotent)
-        if sock is None:
+        connection = self._take_idle(attempt, check=not idempotent)
+        if connection is None:
             try:
-                sock = open_connection(self._address, _CONNECT_TIMEOUT)
+                connection = _Connection(
+                    open_connection(self._address, _CONNECT_TIMEOUT)
+                )
             except OSError as error:
                 return ExchangeResult(
                     ExchangeOutcome.NOT_SENT, detail=f"connect: {error}"
                 )
             self.opened += 1
+        sock = connection.sock
         method = head[: head.find(b" ")]
         reader = ResponseReader(
             method,
@@ -138,6 +150,9 @@
             if result.outcome is ExchangeOutcome.ANSWERED:
                 sent_all = sent == len(head) + len(body)
                 keep = sent_all and reader.keep_alive
+                if is_rejection(result.status, result.headers, self._header_names):
+                    connection.rejected.add(hash(attempt))
+                    keep = keep and len(connection.rejected) <= _MAX_REJECTED_ATTEMPTS
             return result
         except OSError as error:
             return ExchangeResult(ExchangeOutcome.BROKEN, detail=str(error))
@@ -145,7 +160,7 @@
             # Breaks the reference cycle, so the reader and the body are freed at once.
             reader.release()
             if keep:
-                self._store_idle(sock, reader.headers)
+                self._store_idle(connection, reader.headers)
             else:
                 sock.close()
 
@@ -158,7 +173,7 @@
         except OSError:
             return True  # too slow, which does not show that it has ended
         self.opened += 1
-        self._store_idle(sock, [])
+        self._store_idle(_Connection(sock), [])
         return True
 
     def set_address(self, address: Address) -> None:
@@ -208,31 +223,40 @@
 
         return matches_request
 
-    def _take_idle(self, check: bool) -> socket.socket | None:
+    def _take_idle(self, attempt: bytes | None, check: bool) -> _Connection | None:
         while True:
-            with self._lock:
-                if not self._idle:
-                    return None
-                idle = self._idle.pop()
+            idle = self._pop_idle(hash(attempt))
+            if idle is None:
+                return None
             now = self._clock.monotonic()
             if now < idle.until:
                 # No check needed: a stray response is detected by its attempt header,
                 # and an idempotent call can be retried if the target closes meanwhile.
                 if not check and now - idle.since < _UNCHECKED_IDLE:
-                    return idle.sock
+                    return idle
                 if is_idle(idle.sock):
-                    return idle.sock
+                    return idle
             idle.sock.close()
 
+    def _pop_idle(self, attempt_hash: int) -> _Connection | None:
+        """Return the last idle connection on which the attempt was not rejected."""
+        with self._lock:
+            for index in range(len(self._idle) - 1, -1, -1):
+                idle = self._idle[index]
+                if attempt_hash not in idle.rejected:
+                    del self._idle[index]
+                    return idle
+        return None
+
     def _store_idle(
-        self, sock: socket.socket, headers: list[tuple[bytes, bytes]]
+        self, idle: _Connection, headers: list[tuple[bytes, bytes]]
     ) -> None:
         max_idle = _MAX_IDLE
         keep_alive = find_header(headers, b"keep-alive")
         if keep_alive is not None:
             max_idle = _parse_keep_alive(keep_alive) or max_idle
         now = self._clock.monotonic()
-        idle = _IdleConnection(sock, now, now + max_idle)
+        idle.since, idle.until = now, now + max_idle
         expired = []
         with self._lock:
             while self._idle and self._idle[0].until < now:
--- a/src/cyclamenvane/mesh/verdict.py
+++ b/src/cyclamenvane/mesh/verdict.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from http import HTTPStatus
 
 from .forward import ForwardResult, Reason, Verdict
-from .heads import HeaderNames, find_header, render_response_head
+from .heads import HeaderNames, find_header, is_rejection, render_response_head
 from .upstream import ExchangeOutcome, ExchangeResult
 
 __all__ = ["classify_exchange", "make_not_run"]
@@ -36,9 +35,7 @@
     exchange: ExchangeResult, header_names: HeaderNames
 ) -> ForwardResult:
     status, headers = exchange.status, exchange.headers
-    if find_header(headers, header_names.not_run) is not None or (
-        status == HTTPStatus.MISDIRECTED_REQUEST
-    ):
+    if is_rejection(status, headers, header_names):
         detail = f"target answered {status}"
         return replace(
             make_not_run(Reason.TARGET_REFUSED), status=status, detail=detail
--- /dev/null
+++ b/tests/mesh/test_duplicate_response.py
@@ -0,0 +1,116 @@
+"""Targets that send a second copy of a response, late."""
+
+from __future__ import annotations
+
+import threading
+from datetime import timedelta
+
+import pytest
+from target_standin import TargetStandIn, make_response
+
+from cyclamenvane.clock import SystemClock
+from cyclamenvane.mesh.heads import find_header
+from cyclamenvane.mesh.upstream import Upstream
+from cyclamenvane.mesh.watch import watch_no_caller
+from cyclamenvane.platform.headers import HEADERS
+
+NOT_RUN = b"X-Not-Executed: 1\r\n"
+UNAVAILABLE = b"503 Service Unavailable"
+CALLS = 5
+
+
+class DuplicatingTarget:
+    """Rejects the first sends of each attempt, and sends each rejection twice.
+
+    The second copy comes right before the response to the next request on the
+    connection.
+    """
+
+    def __init__(self, target, rejections: int) -> None:
+        self.target, self.rejections = target, rejections
+        self.sends: dict[bytes | None, int] = {}
+        self.copies: dict = {}
+        self._lock = threading.Lock()
+
+    def respond(self, sock, request):
+        attempt = find_header(request.headers, b"x-attempt-id")
+        with self._lock:
+            copy = self.copies.pop(sock, b"")
+            self.sends[attempt] = sends = self.sends.get(attempt, 0) + 1
+        if sends <= self.rejections:
+            response = make_response(request, b"", UNAVAILABLE, NOT_RUN)
+            self.copies[sock] = response
+        else:
+            response = self.target.execute(sock, request)
+        return copy + response
+
+
+@pytest.mark.parametrize("rejections", [1, 3])
+def test_duplicate_of_a_rejection_is_no_response_to_the_next_send(pair, rejections):
+    """Guards against a call that runs twice after it was rejected and sent again."""
+    entry, remote = pair
+    target = DuplicatingTarget(remote.target, rejections)
+    remote.target.script = target.respond
+    answered = []
+    for number in range(CALLS):
+        response = entry.call("/orders/", "POST", b"x", attempt=f"a{number}")
+        # The others are refused once the node takes the target for overloaded.
+        assert response.status in (200, 503)
+        if response.status == 200:
+            answered.append(f"a{number}".encode())
+    assert answered
+    assert list_executed(remote) == answered
+
+
+def test_connection_remembers_a_rejection_while_it_carries_other_calls():
+    """Guards against a duplicate that comes after the response to another call."""
+    target = TargetStandIn()
+    upstream = Upstream(target.address, HEADERS, 1_000_000, SystemClock())
+    rejected_on = []
+
+    def respond(sock, request):
+        if find_header(request.headers, b"x-attempt-id") != b"c1":
+            return make_response(request, b"other")
+        rejection = make_response(request, b"", UNAVAILABLE, NOT_RUN)
+        if not rejected_on:
+            rejected_on.append(sock)
+            return rejection
+        duplicate = rejection if sock in rejected_on else b""
+        return duplicate + make_response(request, b"whole")
+
+    target.script = respond
+    assert exchange(upstream, b"c1").status == 503
+    for number in range(5):
+        assert exchange(upstream, b"d%d" % number).body == b"other"
+    assert upstream.opened == 1
+    assert exchange(upstream, b"c1").body == b"whole"
+    assert upstream.opened == 2
+    target.close()
+
+
+def test_connection_with_many_rejections_is_closed():
+    """Guards against a memory of rejections that grows with the connection's age."""
+    target = TargetStandIn()
+    upstream = Upstream(target.address, HEADERS, 1_000_000, SystemClock())
+    target.script = lambda sock, request: make_response(
+        request, b"", UNAVAILABLE, NOT_RUN
+    )
+    for number in range(200):
+        exchange(upstream, b"e%d" % number)
+    assert 3 <= upstream.opened <= 4
+    target.close()
+
+
+def exchange(upstream, attempt):
+    """Send one call that is not idempotent; return its result."""
+    clock = SystemClock()
+    head = b"POST /orders/ HTTP/1.1\r\nX-Attempt-Id: %s\r\n\r\n" % attempt
+    until = clock.monotonic() + timedelta(seconds=5)
+    return upstream.exchange(head, b"", attempt, False, watch_no_caller(clock), until)
+
+
+def list_executed(member) -> list[bytes]:
+    """Return the attempts that a target has executed."""
+    return [
+        find_header(each.headers, b"x-attempt-id") for each in member.target.executed
+    ]
