Answer all pipelined calls in progress before a connection closes

Callers saw calls that targets were running end without an answer when their node was told to stop, or when malformed bytes followed on the connection.

Cause: each response of a draining node says that the connection closes, and the session ended after it, also with pipelined calls in progress behind it.

Only the last response in progress closes the connection now. A draining node reads no further requests beside a call in progress.

Three of the four new tests failed before; the fourth guards the end of the drain.

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -231,6 +231,10 @@
 
     def _read_ahead(self) -> bool:
         """Read pipelined requests during a call; return False on a disconnect."""
+        if self._caller_server.draining:
+            # They are resent elsewhere, as the connection closes before they are read.
+            self._watch.pause_reading()
+            return True
         try:
             data = self.sock.recv(RECEIVE_BYTES, DONT_WAIT)
         except BlockingIOError:
@@ -288,8 +292,10 @@
         """Write a response; return whether the connection stays open."""
         if self._watch.caller_gone:
             return False
-        keep_alive = keep_alive and not self._caller_server.draining
-        keep_alive = keep_alive and self._reader.error is None
+        # Closing would cut off the pipelined calls that are in progress.
+        if not self._pending:
+            keep_alive = keep_alive and not self._caller_server.draining
+            keep_alive = keep_alive and self._reader.error is None
         head = result.head or _render_error_head(result)
         if not keep_alive:
             head += b"Connection: close\r\n"
