Refuse nested calls that may outlast a stopping node

Callers saw calls that began late in the grace period of a planned stop passed on and then cut without an answer, among them calls that may run once.

Cause: nested calls were served until the process exits, whatever their deadline.

A late nested call is served only if its deadline is before the exit, and each call that begins after the signal gets a deadline before the exit, so that it is answered. The times of the shutdown are code of their own.

--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -33,6 +33,7 @@
     from .levels import RouteLevels
     from .metric import Metrics
     from .model import Address, NodeRecord
+    from .shutdown import Shutdown
     from .watch import Watch
 
 __all__ = ["Dispatcher"]
@@ -86,9 +87,7 @@
         self._on_newer_version = on_newer_version
         self._on_unreachable = on_unreachable
         self._shedder = shedder
-        # Set on shutdown: a new root call may not end before the process does. Nested
-        # calls belong to roots that are served already.
-        self.closed = False
+        self.shutdown: Shutdown | None = None  # set once the node stops
         self._local_peer = Peer(local_record(), clock)
         self._response_sizes = ResponseSizes()
 
@@ -98,10 +97,12 @@
             detail = "the route could not be decoded"
             return _refuse(Reason.NO_TARGET, _MAX_RETRY_AFTER, detail, "", 0)
         service = select_service(call.route, random.random())
-        if not call.rank.depth:
-            if self.closed:
+        if self.shutdown is not None:
+            if not self.shutdown.admits(call, self._clock.monotonic()):
                 detail = "the node is stopping"
                 return _refuse(Reason.LEAVING, _MIN_RETRY_AFTER, detail, service, 0)
+            call = self.shutdown.limit(call)
+        if not call.rank.depth:
             if call.account is not None:
                 rank = self._shedder.offset_rank(
                     call.account.name, call.rank.root, call.tiers
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -38,6 +38,7 @@
 from .rank import ActiveCalls
 from .registration import Registration, TargetState
 from .report import CallReporter
+from .shutdown import plan_shutdown
 from .stop_event import StopEvent
 from .store_client import StoreClient
 from .target_proxy import TargetProxy
@@ -52,10 +53,7 @@
 _RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
 _MAX_THREADS = 512  # about 100 KB each; further calls wait for a free one
 _LISTENER_DESCRIPTOR_SHARE = 0.35  # of the file descriptors, per listener
-# Callers use other nodes after two failed readiness probes, sent once a second.
-_READINESS_PROPAGATION_TIME = timedelta(seconds=2.5)
 _LEAVING_PROPAGATION_TIME = timedelta(milliseconds=500)  # for nodes to select others
-_EXIT_MARGIN = timedelta(milliseconds=700)  # before the platform kills the process
 _DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 
 
@@ -199,21 +197,20 @@
         """Drain the calls in progress; return whether all have ended.
 
         Readiness fails first, so callers use other nodes. Then the node is reported as
-        leaving, so nodes select other targets. Then forwarded requests get `NOT_RUN`,
-        and new root calls are refused.
+        leaving, so nodes select other targets. Then forwarded requests get `NOT_RUN`.
         """
-        started_at = self._clock.monotonic()
-        deadline = started_at + self.settings.grace_period - _EXIT_MARGIN
+        now, grace_period = self._clock.monotonic(), self.settings.grace_period
+        shutdown = self.dispatcher.shutdown = plan_shutdown(now, grace_period)
         self._stopping = self.caller_server.draining = True
         eliot.log_message("node:stopping")
-        delay = min(_READINESS_PROPAGATION_TIME, self.settings.grace_period / 2)
-        self._stop_event(max(delay - _LEAVING_PROPAGATION_TIME, timedelta()))
+        delay = shutdown.roots_until - now - _LEAVING_PROPAGATION_TIME
+        self._stop_event(max(delay, timedelta()))
         self.target_proxy.leaving = True
         self.account_rates.close()
         self.store_client.relay.close()
         self._stop_event(_LEAVING_PROPAGATION_TIME)
-        self.target_proxy.closed = self.dispatcher.closed = True
-        while self._clock.monotonic() < deadline:
+        self.target_proxy.closed = True
+        while self._clock.monotonic() < shutdown.exits_at:
             self._stop_event(_DRAIN_POLL_INTERVAL)
             if (
                 not self.caller_server.in_flight.count()
--- a/tests/mesh/test_planned_stop.py
+++ b/tests/mesh/test_planned_stop.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import http.client
+import time
 from dataclasses import dataclass
 
 import pytest
-from mesh_harness import make_request, wait_until
+from mesh_harness import POST, make_request, route, wait_until
+from target_standin import make_response
 
 
 @dataclass(frozen=True)
@@ -80,3 +82,75 @@
         responses = read_responses(sock)
     assert responses[-1].closes and stopping.result(5)
     assert len(responses) == len(remote.target.executed)
+
+
+class LateCalls:
+    """The target of a stopping node; its run makes a call late in the grace period."""
+
+    def __init__(self, entry, remote, method: str, call_at: float, deadline_ms: int):
+        self.entry, self.remote, self.method = entry, remote, method
+        self.call_at, self.deadline_ms = call_at, deadline_ms
+        self.started_at, self.responses, self.cut = 0.0, [], []
+        entry.target.script = self.run
+
+    def run(self, sock, request):
+        wait_until(lambda: time.monotonic() > self.started_at + self.call_at, 20)
+        try:
+            response = self.entry.call(
+                "/orders/" if self.method == "POST" else "/items/2",
+                self.method,
+                b"x" if self.method == "POST" else b"",
+                attempt="a1.01",
+                deadline_ms=self.deadline_ms,
+            )
+            self.responses.append(response)
+        except (OSError, http.client.HTTPException) as error:
+            self.cut.append(error)
+        return make_response(request, b"whole")
+
+    def stop(self) -> bool:
+        """Stop the node while its target runs a root call; return the result."""
+        entry = self.entry
+        routes = route(), route("post", "/orders/", **POST)
+        entry.mesh.configure(*routes, route("desk", "/desk/", service="desk"))
+        wait_until(lambda: entry.node.configuration.version() == 10)
+        with entry.connect() as sock:
+            self.started_at = time.monotonic() + 100
+            sock.sendall(make_request("/desk/"))
+            wait_until(lambda: entry.node.target_proxy.load().in_flight)
+            self.started_at = time.monotonic()
+            ended = entry.node.executor.submit(entry.node.stop)
+            clean = ended.result(8)
+            entry.node.kill()  # the process ends
+            wait_until(lambda: self.responses or self.cut)
+        return clean
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_nested_call_that_could_outlast_the_process_is_refused(pair, method):
+    """Guards against late calls that are passed on and cut at the process's end."""
+    entry, remote = pair
+    remote.target.delay = 3.0
+    calls = LateCalls(entry, remote, method, call_at=2.8, deadline_ms=5000)
+    calls.stop()
+    assert [each.status for each in calls.responses] == [503]
+    assert not calls.cut and not remote.target.executed
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_nested_call_that_ends_before_the_process_is_served(pair, method):
+    """Guards against refusing late calls that have the time that they need."""
+    entry, remote = pair
+    calls = LateCalls(entry, remote, method, call_at=2.3, deadline_ms=500)
+    assert calls.stop()
+    assert [each.status for each in calls.responses] == [200]
+
+
+def test_a_nested_call_at_the_start_of_the_drain_gets_an_answer(pair):
+    """Guards against a call that waits or runs beyond the end of its process."""
+    entry, remote = pair
+    remote.target.delay = 6.0
+    calls = LateCalls(entry, remote, "POST", call_at=1.9, deadline_ms=9000)
+    calls.stop()
+    assert [each.status for each in calls.responses] == [504]
+    assert not calls.cut
