Judge lost requests in a soak of planned work

The soak did not judge requests that end without an answer.

A request that was sent behind another and did not run may end unanswered.

--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -14,7 +14,7 @@
 
 _TIMEOUT_S = 4.0
 _FORGED_SHARE = 0.2  # of calls with an account header of the caller's own
-_NUMBERS = itertools.count(1)
+NUMBERS = itertools.count(1)  # of the attempts of all callers
 
 
 # Account, key, calls a second over all nodes, prefixes of paths.
@@ -43,7 +43,7 @@
 
     def call(self, account: str, key: str, path: str, forged: bool) -> int:
         """Send a request with a new attempt ID; return the status, 0 without one."""
-        attempt = f"t{next(_NUMBERS)}"
+        attempt = f"t{next(NUMBERS)}"
         path += attempt  # requests alike would be taken for one that crashes targets
         is_order = path.startswith("/orders/")
         method, body = ("POST", attempt.encode() * 50) if is_order else ("GET", b"")
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -11,6 +11,7 @@
 _APPLY_S = 2.5  # from the acknowledgement of a version
 _RECOVERY_S = 3.0  # a node is judged once it has run undisturbed for this time
 _WINDOW_S = 5.0
+_LOSS_SLACK_S = 0.2  # within which a request may cross the end of its connection
 _OVERSHOOT, _TOLERANCE = 0.1, 20.0
 
 
@@ -34,6 +35,23 @@
             yield f"run {count} times: {call}"
 
 
+def check_lost(seen: Observations) -> Iterator[str]:
+    """A request that a target ran has a complete response; so has one that was sent for
+    longer than the slack before its connection ended, unless it followed another one.
+
+    It holds while all work is planned, and targets take much less time than a node has
+    to stop.
+    """
+    executed = {find_attempt(request) for request, _ in seen.runs}
+    for call in seen.calls:
+        if call.status:
+            continue
+        if call.attempt in executed:
+            yield f"lost after it was run: {call}"
+        elif call.done - call.sent > _LOSS_SLACK_S and not call.follows:
+            yield f"lost unanswered: {call}"
+
+
 def check_identities(seen: Observations) -> Iterator[str]:
     """Targets get the account of the key and no key; unknown keys are not served."""
     known = {key for change in seen.changes for key in change.keys}
--- a/tests/soak/soak_failures.py
+++ b/tests/soak/soak_failures.py
@@ -69,6 +69,26 @@
     return tuple(sorted(plan, key=lambda each: each.at))
 
 
+def make_planned_work(seed: int, nodes: int) -> tuple[Failure, ...]:
+    """Return stops, reloads and changes of the configuration, which overlap.
+
+    A node is stopped only while the others of its service run.
+    """
+    chance = random.Random(seed)
+    plan = []
+    at = _FIRST_S
+    while at < _FAILURE_S:
+        node = chance.randrange(nodes)
+        mode = chance.choice(_MODES["stop"])
+        plan.append(Failure(at, "stop", node, chance.uniform(0.1, 0.5), mode))
+        for _ in range(chance.randint(1, 3)):
+            kind = chance.choice(("reload", "write_configuration"))
+            other = chance.randrange(nodes) if kind == "reload" else -1
+            plan.append(Failure(at + chance.uniform(0, 4), kind, other, 0.2, ""))
+        at += chance.uniform(1.0, 4.0)
+    return tuple(sorted(plan, key=lambda each: each.at))
+
+
 class FailureRunner:
     """Carries out failures at a site, and logs them."""
 
--- a/tests/soak/soak_records.py
+++ b/tests/soak/soak_records.py
@@ -24,6 +24,7 @@
     done: float
     status: int
     complete: bool  # whether the answer is the whole one to this request
+    follows: bool = False  # whether it was sent behind another on its connection
 
 
 @dataclass(frozen=True)
