Bound endless responses by the sum of what they hold

Callers lost calls when a target sent endless heads or bodies to several calls at once: the node beside it ran out of memory.

Cause: each response was bounded, their sum was not; and limits counted bytes where chunks and headers take many times their bytes as objects.

A body is held in one buffer, headers count with their objects, and all responses share a fifth of the node's memory. Small responses go on when it is used up.

--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from .body_buffer import BodyBuffer
 from .heads import Headers, find_header
 from .model import CallerLimits
 
@@ -22,6 +23,7 @@
 
 
 _OVERHEAD_PER_BODY_BYTE = 8  # of chunks that carry one byte each
+_HEADER_OVERHEAD_BYTES = 200  # of the objects of one header
 
 
 class RequestError(Enum):
@@ -101,7 +103,7 @@
     def _reset(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._head_bytes = 0
         self._body_bytes = 0
 
@@ -151,10 +153,10 @@
             parser.get_method(),
             self._url,
             tuple(self._headers),
-            b"".join(self._body),
+            self._body.join(),
             parser.should_keep_alive(),
         )
-        self._body = []
+        self._body = BodyBuffer()
         self.complete_requests.append(request)
 
     def is_busy(self) -> bool:
@@ -197,6 +199,7 @@
         self._max_body = max_body
         self._received_bytes = 0
         self._body_bytes = 0
+        self._header_bytes = 0
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.complete = False
@@ -205,7 +208,7 @@
         self._matches_request = matches_request
         self._head_complete = False
         self._matched = False
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._no_body = method == b"HEAD"
         self._length_known = False
         self._keep_alive = False
@@ -214,7 +217,15 @@
     @property
     def body(self) -> bytes:
         """The body received so far."""
-        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        return self._body.join()
+
+    @property
+    def held_bytes(self) -> int:
+        """About the memory that the response takes, in bytes."""
+        if not self._head_complete:
+            # The parser holds a header until it is whole.
+            return max(self._received_bytes, self._header_bytes)
+        return self._body_bytes + self._header_bytes
 
     @property
     def keep_alive(self) -> bool:
@@ -238,7 +249,11 @@
     def _exceeds_limits(self) -> bool:
         overhead = self._received_bytes - self._body_bytes
         allowed = self._max_overhead + self._body_bytes * _OVERHEAD_PER_BODY_BYTE
-        return self._body_bytes > self._max_body or overhead > allowed
+        return (
+            self._body_bytes > self._max_body
+            or overhead > allowed
+            or self._header_bytes > self._max_overhead
+        )
 
     def release(self) -> None:
         """Drop the parser to break its reference cycle with this reader."""
@@ -256,13 +271,15 @@
             self.extra_data = True
             return
         self.headers = []
-        self._body = []
+        self._body = BodyBuffer()
+        self._header_bytes = 0
         self._head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header, and for each trailer."""
         if not self._head_complete and not self.complete:
             self.headers.append((name.lower(), value))
+            self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of the head."""
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -28,7 +28,7 @@
 from .levels import RouteLevels
 from .local_record import make_local_record
 from .log import CallLog
-from .memory import BodyMemory
+from .memory import BodyMemory, ResponseMemory
 from .metric import Metrics
 from .model import Address, MeshSettings, NodeRecord
 from .peer_pool import PeerPool
@@ -51,6 +51,7 @@
 
 _BODY_MEMORY_SHARE = 0.25  # of the process memory, for request bodies being read
 _RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
+_RESPONSES_MEMORY_SHARE = 0.2  # for all responses that the target is sending
 _MAX_THREADS = 512  # about 100 KB each; further calls wait for a free one
 _LISTENER_DESCRIPTOR_SHARE = 0.35  # of the file descriptors, per listener
 _LEAVING_PROPAGATION_TIME = timedelta(milliseconds=500)  # for nodes to select others
@@ -104,6 +105,7 @@
             settings.target,
             adapter.header_names,
             int(settings.memory_bytes * _RESPONSE_MEMORY_SHARE),
+            ResponseMemory(int(settings.memory_bytes * _RESPONSES_MEMORY_SHARE)),
             clock,
         )
         self.target_proxy = TargetProxy(
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -18,6 +18,7 @@
 
 from .connection import RECEIVE_BYTES, is_idle, open_connection, send_all
 from .heads import HeaderNames, Headers, find_header, is_rejection
+from .memory import ResponseMemory, ResponseReservation
 from .message import ResponseReader
 from .watch import WaitResult, Watch
 
@@ -99,8 +100,10 @@
         address: Address,
         header_names: HeaderNames,
         max_body_bytes: int,
+        memory: ResponseMemory,
         clock: Clock,
     ) -> None:
+        self._memory = memory
         self._address = address
         self._max_body_bytes = max_body_bytes
         self._header_names = header_names
@@ -141,12 +144,13 @@
             MAX_OVERHEAD_BYTES,
             self._max_body_bytes,
         )
+        reservation = self._memory.open()
         keep = False
         try:
             wait_result, sent = send_all(sock, head + body, watch, until)
             if wait_result is not WaitResult.READY:
                 return _interrupted_exchange(wait_result)
-            result = self._read(sock, reader, watch, until)
+            result = self._read(sock, reader, reservation, watch, until)
             if result.outcome is ExchangeOutcome.ANSWERED:
                 sent_all = sent == len(head) + len(body)
                 keep = sent_all and reader.keep_alive
@@ -159,6 +163,7 @@
         finally:
             # Breaks the reference cycle, so the reader and the body are freed at once.
             reader.release()
+            reservation.close()
             if keep:
                 self._store_idle(connection, reader.headers)
             else:
@@ -193,6 +198,7 @@
         self,
         sock: socket.socket,
         reader: ResponseReader,
+        reservation: ResponseReservation,
         watch: Watch,
         until: timedelta,
     ) -> ExchangeResult:
@@ -209,6 +215,9 @@
                     return ExchangeResult(ExchangeOutcome.BROKEN, detail="ended early")
             if reader.malformed:
                 return ExchangeResult(ExchangeOutcome.BROKEN, detail="not a response")
+            if not reader.complete and not reservation.cover(reader.held_bytes):
+                detail = f"responses hold {self._memory.reserved()} bytes"
+                return ExchangeResult(ExchangeOutcome.BROKEN, detail=detail)
         return ExchangeResult(
             ExchangeOutcome.ANSWERED, reader.status, tuple(reader.headers), reader.body
         )
--- a/tests/mesh/test_duplicate_response.py
+++ b/tests/mesh/test_duplicate_response.py
@@ -10,6 +10,7 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.heads import find_header
+from cyclamenvane.mesh.memory import ResponseMemory
 from cyclamenvane.mesh.upstream import Upstream
 from cyclamenvane.mesh.watch import watch_no_caller
 from cyclamenvane.platform.headers import HEADERS
@@ -65,7 +66,7 @@
 def test_connection_remembers_a_rejection_while_it_carries_other_calls():
     """Guards against a duplicate that comes after the response to another call."""
     target = TargetStandIn()
-    upstream = Upstream(target.address, HEADERS, 1_000_000, SystemClock())
+    upstream = make_upstream(target)
     rejected_on = []
 
     def respond(sock, request):
@@ -91,7 +92,7 @@
 def test_connection_with_many_rejections_is_closed():
     """Guards against a memory of rejections that grows with the connection's age."""
     target = TargetStandIn()
-    upstream = Upstream(target.address, HEADERS, 1_000_000, SystemClock())
+    upstream = make_upstream(target)
     target.script = lambda sock, request: make_response(
         request, b"", UNAVAILABLE, NOT_RUN
     )
@@ -101,6 +102,11 @@
     target.close()
 
 
+def make_upstream(target) -> Upstream:
+    memory = ResponseMemory(1_000_000)
+    return Upstream(target.address, HEADERS, 1_000_000, memory, SystemClock())
+
+
 def exchange(upstream, attempt):
     """Send one call that is not idempotent; return its result."""
     clock = SystemClock()
--- a/tests/mesh/test_endless_response.py
+++ b/tests/mesh/test_endless_response.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from mesh_harness import make_request, route, wait_until
+from target_standin import make_response
 
+from cyclamenvane.mesh.heads import find_header
+from cyclamenvane.mesh.message import RequestReader, ResponseReader
+from cyclamenvane.mesh.model import CallerLimits
 from cyclamenvane.mesh.upstream import MAX_OVERHEAD_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Upstream-Signature: s-a1\r\n"
@@ -142,3 +148,116 @@
     for number in range(4):
         assert entry.call(attempt=f"a{number}").status == 200
     assert good.target.executed
+
+
+CALLS = 16  # the slots of the target
+
+
+def send_rounds(entry, count=CALLS):
+    """Send calls at the same time; return their responses."""
+
+    def call(number):
+        return entry.call("/orders/", "POST", b"x", f"a{number}", deadline_ms=9000)
+
+    with ThreadPoolExecutor(count) as executor:
+        return list(executor.map(call, range(count)))
+
+
+def measure_peak_bytes(call) -> int:
+    """Return the peak of the memory of objects that a function allocates."""
+    tracemalloc.start()
+    try:
+        call()
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+def test_endless_bodies_are_bounded_by_their_sum(pair):
+    """Guards against endless responses that are each within their limit."""
+    entry, remote = pair
+    piece = b"10000\r\n%s\r\n" % (b"x" * 65536)
+
+    def script(sock, request):
+        head = make_response(request, b"").partition(b"Content-Length")[0]
+        try:
+            sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+            while True:
+                sock.sendall(piece)
+        except OSError:
+            return None
+
+    remote.target.script = script
+    responses = []
+    peak = measure_peak_bytes(lambda: responses.extend(send_rounds(entry)))
+    assert peak < remote.settings.memory_bytes * 0.5
+    assert [each.status for each in responses] == [502] * CALLS
+
+
+@pytest.mark.parametrize("length", [1, 2, 3, 100])
+def test_small_chunks_take_no_more_memory_than_their_bytes(length):
+    """Guards against objects for chunks, which no limit counts."""
+    data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    data += b"%x\r\n%s\r\n" % (length, b"x" * length) * (300_000 // length)
+    request = b"POST / HTTP/1.1\r\nHost: a\r\n" + data.partition(b"s-a1\r\n")[2]
+
+    def match(status, headers):
+        return True
+
+    for make_reader, message in (
+        (lambda: ResponseReader(b"GET", match, 10**7, 10**7), data),
+        (lambda: RequestReader(CallerLimits()), request),
+    ):
+        reader = make_reader()
+        peak = measure_peak_bytes(lambda: reader.feed(message))
+        assert peak < 500_000
+        reader.release()
+
+
+@pytest.mark.parametrize("line", [b"a:\r\n", b"a: b\r\n", b"X-Long: %s\r\n" % PIECE])
+def test_endless_heads_are_bounded_by_their_sum(pair, line):
+    """Guards against headers whose objects take much more memory than their bytes."""
+    entry, remote = pair
+    send_endless(remote, HEAD, line * (65536 // len(line) + 1))
+    responses = []
+    peak = measure_peak_bytes(lambda: responses.extend(send_rounds(entry)))
+    assert peak < remote.settings.memory_bytes * 0.3
+    assert {each.status for each in responses} <= {502, 504}
+
+
+@pytest.mark.parametrize(
+    ("data", "held"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Long: " + PIECE, len(PIECE)),
+        (HEAD + b"\r\n" + PIECE, len(PIECE)),
+        (b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 1000, 100_000),
+    ],
+    ids=["header value", "body", "headers"],
+)
+def test_what_a_response_holds_is_counted(data, held):
+    """Guards against a part of a response that the shared limit leaves out."""
+    reader = ResponseReader(b"GET", lambda status, headers: True, 10**7, 10**7)
+    reader.feed(data)
+    assert held <= reader.held_bytes <= 3 * held
+
+
+def test_other_responses_are_delivered_beside_endless_ones(pair):
+    """Guards against endless responses that use up the memory of all others."""
+    entry, remote = pair
+    body = b"y" * 200_000
+
+    def script(sock, request):
+        if find_header(request.headers, b"x-attempt-id").startswith(b"a"):
+            return endless(sock, request)
+        return make_response(request, body)
+
+    send_endless(remote, HEAD + b"\r\n", PIECE * 8)
+    endless, remote.target.script = remote.target.script, script
+    with ThreadPoolExecutor(1) as executor:
+        rounds = executor.submit(lambda: [send_rounds(entry, 8) for _ in range(3)])
+        count = 0
+        while not rounds.done():
+            response = entry.call("/items/1", attempt=f"b{count}")
+            assert response.status == 200 and response.body == body
+            count += 1
+    assert count > 3
