Check all fields of a node's record where it is decoded

Callers lost calls when another writer left an odd row among the nodes' records: a port out of range, a number in place of a name, a time that is no number. Each node that read it ended, again after each start.

Cause: the fields were not checked, so what is wrong shows in a comparison or a connection attempt, in tasks in which an exception ends the process.

--- a/src/cyclamenvane/mesh/model.py
+++ b/src/cyclamenvane/mesh/model.py
@@ -15,6 +15,9 @@
 from ..accounts.model import Account
 
 __all__ = [
+    "MAX_PORT",
+    "MAX_SLOTS",
+    "MAX_TIME_MS",
     "Address",
     "CallerLimits",
     "Configuration",
@@ -29,6 +32,10 @@
 
 Address: TypeAlias = tuple[str, int]
 
+MAX_PORT = 65535
+MAX_SLOTS = 2**31 - 1  # of one target
+MAX_TIME_MS = 2**53  # a Unix time in milliseconds
+
 
 @dataclass(frozen=True, slots=True)
 class RouteShare:
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -12,12 +12,13 @@
 import threading
 from collections import deque
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any
 
 import eliot
 import msgpack
 
-from .model import Incarnation, NodeRecord
+from .model import MAX_PORT, MAX_SLOTS, MAX_TIME_MS, Address, Incarnation, NodeRecord
 from .rows import RowsFailure, RowStore, RowWrite, StoreVersion
 from .subscription import Backoff
 
@@ -160,13 +161,53 @@
 
 
 def decode_record(data: bytes) -> NodeRecord | None:
-    """Return the decoded record, or None when the data is not a record."""
+    """Return the decoded record, or None when the data is not a record.
+
+    Another writer may have left the data, so each field is checked here: elsewhere,
+    records are compared, and their addresses connected to.
+    """
     try:
-        fields: list[Any] = msgpack.unpackb(data)
-        node, session, zone, host, port, service, slots, leaving, started = fields
-        incarnation = Incarnation(*started) if started else None
+        node, session, zone, host, port, service, slots, leaving, started = (
+            msgpack.unpackb(data)
+        )
         return NodeRecord(
-            node, session, zone, (host, port), service, slots, leaving, incarnation
+            _check_name(node),
+            _check_number(session, MAX_TIME_MS),
+            _check_type(zone, str),
+            _decode_address(host, port),
+            _check_type(service, str),
+            _check_number(slots, MAX_SLOTS),
+            _check_type(leaving, bool),
+            _decode_incarnation(*started) if started is not None else None,
         )
-    except (ValueError, TypeError, msgpack.UnpackException):
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException):
         return None
+
+
+def _decode_incarnation(started_ms: Any, instance: Any) -> Incarnation:
+    return Incarnation(_check_number(started_ms, MAX_TIME_MS), _check_name(instance))
+
+
+def _decode_address(host: Any, port: Any) -> Address:
+    if not _check_number(port, MAX_PORT):
+        raise ValueError("port 0")
+    return str(IPv4Address(_check_name(host))), port
+
+
+def _check_type(value: Any, kind: type) -> Any:
+    # A bool is an instance of int, but no number.
+    if type(value) is not kind:
+        raise TypeError(f"{type(value).__name__} in place of {kind.__name__}")
+    return value
+
+
+def _check_name(value: Any) -> str:
+    if not _check_type(value, str):
+        raise ValueError("an empty name")
+    return value
+
+
+def _check_number(value: Any, largest: int) -> int:
+    if not 0 <= _check_type(value, int) <= largest:
+        raise ValueError(f"a number out of range: {value}")
+    return value
--- a/tests/mesh/conftest.py
+++ b/tests/mesh/conftest.py
@@ -38,3 +38,23 @@
     mesh.configure(route(), route("post", "/orders/", **POST))
     mesh.wait_until_converged()
     return first, second
+
+
+@pytest.fixture
+def watched(mesh, log_messages):
+    """Return a mesh, and a function that lists the errors that would end a node."""
+
+    def list_broken():
+        kind = "node:broken_invariant"
+        return [each for each in log_messages if each.get("message_type") == kind]
+
+    add = mesh.add
+
+    def add_watched(*arguments):
+        member = add(*arguments)
+        member.node.executor._on_invariant_broken = lambda: None
+        return member
+
+    mesh.add = add_watched
+    yield mesh, list_broken
+    assert not list_broken()
