Let a row that is no base64 hide no other row

Nodes stopped following the table of records: one undecodable value made its whole page an error. Such a value counts as empty now, and is logged; a response of the store that is no object is an error and not an exception.

Six of the seven new cases failed before.

--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import http.client
 import socket
 from collections.abc import Sequence
@@ -17,6 +16,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import eliot
 import orjson
 from expression import Error, Ok, Result
 
@@ -158,16 +158,20 @@
             detail = f"{response.status} {detail}"
             return Error(RowsError(failure, detail, self._epoch))
         try:
-            return Ok(orjson.loads(data))
+            document = orjson.loads(data)
         except orjson.JSONDecodeError as error:
             self.close()
             return Error(RowsError(RowsFailure.UNKNOWN, repr(error)))
+        if not isinstance(document, dict):
+            detail = f"no object: {type(document).__name__}"
+            return Error(RowsError(RowsFailure.UNKNOWN, detail, self._epoch))
+        return Ok(document)
 
     def _decode_page(self, document: dict[str, Any]) -> Result[RowsPage, RowsError]:
         try:
             changes = tuple(_decode_row(each, self._epoch) for each in document["rows"])
             version = StoreVersion(self._epoch, int(document["rowVersion"]))
-        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        except (KeyError, TypeError, ValueError) as error:
             return Error(RowsError(RowsFailure.REJECTED, repr(error)))
         return Ok(RowsPage(changes, version))
 
@@ -196,5 +200,17 @@
         deleted_at = StoreVersion(epoch, number) if number else None
         return RowChange(part, key, None, deleted_at)
     version = StoreVersion(epoch, int(document["rowVersion"]))
-    row = StoredRow(part, key, base64.b64decode(document["value"]), version)
+    row = StoredRow(part, key, _decode_value(key, document["value"]), version)
     return RowChange(part, key, row, version)
+
+
+def _decode_value(key: str, value: Any) -> bytes:
+    """Return the value of a row; one that is no base64 is empty.
+
+    As an error it would hide all other rows of its page.
+    """
+    try:
+        return base64.b64decode(value)
+    except (TypeError, ValueError) as error:
+        eliot.log_message("store:value_invalid", key=key, error=repr(error))
+        return b""
--- a/tests/mesh/test_odd_rows.py
+++ b/tests/mesh/test_odd_rows.py
@@ -78,3 +78,20 @@
     for number in range(6):
         assert entry.call("/new/", attempt=f"a{number}").status == 200
     assert not list_broken()
+
+
+@pytest.mark.parametrize("text", ["%%%", "AAA", "\u00e9", 5, None, [], {"a": 1}])
+def test_a_row_that_is_no_base64_hides_no_other_row(watched, text):
+    """Guards against one value that makes the whole page of rows unreadable."""
+    mesh, list_broken = watched
+    entry = mesh.add("stock")
+    mesh.configure(route())
+    mesh.wait_until_converged()
+    row = {"table": NODES_TABLE, "part": "a", "key": "a-odd", "value": text}
+    mesh.store.transact({"puts": [row]})
+    mesh.configure(route(), route("new", "/new/"))
+    late = mesh.add("stock")
+    for member in (entry, late):
+        wait_until(lambda: member.node.configuration.version() == 10)
+    wait_until(lambda: len(entry.node.directory.peers()) == 1)
+    wait_until(lambda: len(late.node.directory.peers()) == 1)
