Bound the numbers of heartbeats and the version of a configuration

A port out of range, a start time or a number of slots beyond what a record holds made a heartbeat that was acknowledged and a record that nobody can use; a version of more than 64 bits cannot be sent between nodes. They are errors where they are decoded now.

--- a/src/cyclamenvane/platform/documents.py
+++ b/src/cyclamenvane/platform/documents.py
@@ -18,6 +18,9 @@
 from expression import Error, Ok, Result
 
 from ..mesh.model import (
+    MAX_PORT,
+    MAX_SLOTS,
+    MAX_TIME_MS,
     Address,
     CallerLimits,
     Configuration,
@@ -55,6 +58,7 @@
 )
 
 _T = TypeVar("_T")
+_MAX_VERSION = 2**63 - 1  # of a number between nodes
 
 
 def decode_configuration(data: bytes) -> Result[Configuration, str]:
@@ -112,11 +116,11 @@
         info, status = document["info"], document["status"]
         return Ok(
             Heartbeat(
-                incarnation=Incarnation(_get_typed(document, "born", int), instance),
+                incarnation=Incarnation(_decode_start(document), instance),
                 service=_get_typed(info, "service", str),
                 address=_decode_address(document["address"]),
                 zone=_get_typed(info, "zone", str),
-                slots=_decode_count(info["capacity"]),
+                slots=_decode_count(info["capacity"], MAX_SLOTS),
                 draining=_DRAINING[status["state"]],
                 sequence=_get_typed(status, "sequence", int),
                 warmup=_decode_seconds(status["warmupLeftS"]),
@@ -281,15 +285,27 @@
 def _decode_version(text: str) -> int:
     if not text.startswith("r"):
         raise ValueError(f"version {text!r} does not start with r")
-    return int(text[1:])
+    version = int(text[1:])
+    if not 0 <= version <= _MAX_VERSION:
+        raise ValueError(f"version {text!r} is out of range")
+    return version
 
 
-def _decode_count(value: Any) -> int:
+def _decode_count(value: Any, largest: int | None = None) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 1:
         raise ValueError(f"expected a positive whole number, got {value!r}")
+    if largest is not None and value > largest:
+        raise ValueError(f"expected at most {largest}, got {value}")
     return value
 
 
+def _decode_start(document: dict[str, Any]) -> int:
+    started_ms: int = _get_typed(document, "born", int)
+    if not 0 <= started_ms <= MAX_TIME_MS:
+        raise ValueError(f"born is out of range: {started_ms}")
+    return started_ms
+
+
 def _decode_seconds(value: Any) -> timedelta:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise TypeError(f"expected a number of seconds, got {value!r}")
@@ -302,4 +318,7 @@
     host, _, port = text.rpartition(":")
     if not host:
         raise ValueError(f"address {text!r} has no host")
-    return host, int(port)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"address {text!r} has a port out of range")
+    return host, number
