--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -39,6 +39,8 @@
 # Idle time up to which a connection may be reused without a check: much shorter
 # than any idle timeout.
 _UNCHECKED_IDLE = timedelta(milliseconds=200)
+_MAX_KEEP_ALIVE = timedelta(days=1)
+_MAX_KEEP_ALIVE_DIGITS = 9  # a duration cannot hold every number
 _KEEP_ALIVE_FRACTION = 0.5  # of the advertised idle timeout
 # A connection with more of them is closed, as it cannot remember them all.
 _MAX_REJECTED_ATTEMPTS = 64
@@ -278,8 +280,13 @@
 def _parse_keep_alive(value: bytes) -> timedelta | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return timedelta(seconds=int(number)) * _KEEP_ALIVE_FRACTION
+        digits = number.strip()
+        if name.lower() == b"timeout" and digits.isdigit():
+            if len(digits) > _MAX_KEEP_ALIVE_DIGITS:
+                return _MAX_KEEP_ALIVE
+            return min(timedelta(seconds=int(digits)), _MAX_KEEP_ALIVE) * (
+                _KEEP_ALIVE_FRACTION
+            )
     return None
 
 
