--- a/src/cyclamenvane/mesh/rate_limit.py
+++ b/src/cyclamenvane/mesh/rate_limit.py
@@ -28,6 +28,8 @@
 _BURST_TIME = timedelta(milliseconds=500)  # in which the calls of a burst are earned
 # Calls a second to a target that takes none, so that it can withdraw the limit.
 _MIN_RATE = 0.5
+# A much larger one would overflow the number of calls that it allows.
+_MAX_RATE = 1e9
 # A response that does not name the limit withdraws it only after this time, since
 # early rejections do not always have all headers.
 _HOLD_TIME = timedelta(seconds=1)
@@ -130,4 +132,4 @@
         return 0.0
     if not math.isfinite(rate) or rate < 0:
         return 0.0
-    return max(rate, _MIN_RATE)
+    return min(max(rate, _MIN_RATE), _MAX_RATE)
--- a/tests/mesh/test_odd_headers.py
+++ b/tests/mesh/test_odd_headers.py
@@ -12,6 +12,8 @@
         b"Keep-Alive: timeout=%s" % n
         for n in (b"-1", b"", b"0", b"1e9", b"\xb2", b"5 5")
     ),
+    *(b"Server-Limit: %s" % n for n in (b"1e308", b"1e-320", b"nan", b"inf", b"-1")),
+    *(b"Server-Limit: %s" % n for n in (b"9" * 5000, b"", b"\xb2", b"0x1")),
     b"Server-Leaving: \xff",
     b"X-Instance-Id: \xff",
     b"Retry-After: 9" + b"9" * 5000,
