Deliver the last response before closing a connection with unread data

Callers lost the end of a large response, or the whole refusal of an upload: the node closed the connection while it had data to read, which makes the kernel reset it and drop what it has not sent. A stopping node leaves pipelined requests unread.

The session ends sending and discards what arrives until the caller closes, for 3 s at most, after a large response or with unread data.

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -21,6 +21,8 @@
     DONT_WAIT,
     INITIAL_RECEIVE_BYTES,
     RECEIVE_BYTES,
+    discard_until_end,
+    is_idle,
     send_to_caller,
     set_receive_timeout,
 )
@@ -43,6 +45,9 @@
 _NEXT_REQUEST_TIMEOUT = timedelta(milliseconds=250)
 _MAX_PIPELINED = 32  # concurrent requests of one connection
 _WRITE_TIMEOUT = timedelta(seconds=10)  # for callers that read slowly
+# A smaller response has been sent by the time that `send` returns.
+_UNSENT_BYTES = 16 * 1024
+_CLOSE_TIMEOUT = timedelta(seconds=3)  # for the caller to close its side
 _NO_MEMORY_RETRY = timedelta(seconds=1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -122,6 +127,7 @@
         self._pending: deque[_PendingResult] = deque()
         self._pipeline_signals: _PipelineSignals | None = None
         self._reserved = 0
+        self._last_response_bytes = 0  # of the one after which the connection closes
 
     def run(self) -> timedelta | None:
         """Serve requests until none arrives in time or the connection closes.
@@ -138,6 +144,7 @@
                     return None
                 resumed = False
                 if not self._serve_next():
+                    self._finish_sending()
                     return None
         except OSError:
             # The caller's connection failed; `close` cancels its calls.
@@ -299,13 +306,28 @@
         head = result.head or _render_error_head(result)
         if not keep_alive:
             head += b"Connection: close\r\n"
-        self._send(head + b"\r\n" + result.body)
+        data = head + b"\r\n" + result.body
+        self._send(data)
+        if not keep_alive:
+            self._last_response_bytes = len(data)
         return keep_alive
 
+    def _finish_sending(self) -> None:
+        """Let the kernel deliver the last response, if closing could cut it off."""
+        if not self._last_response_bytes or self._watch.caller_gone:
+            return
+        large = self._last_response_bytes > _UNSENT_BYTES
+        if large or not is_idle(self.sock):
+            with self._caller_server.in_flight:
+                until = self._clock.monotonic() + _CLOSE_TIMEOUT
+                discard_until_end(self.sock, self._clock, until)
+
     def _reject(self, status: HTTPStatus, retry_after: timedelta | None = None) -> None:
         self._caller_server.metrics.record_rejected_request(status)
         result = CallResult(status, retry_after=retry_after)
-        self._send(_render_error_head(result) + b"Connection: close\r\n\r\n")
+        data = _render_error_head(result) + b"Connection: close\r\n\r\n"
+        self._send(data)
+        self._last_response_bytes = len(data)
 
     def _send(self, data: bytes) -> None:
         until = self._clock.monotonic() + _WRITE_TIMEOUT
--- a/src/cyclamenvane/mesh/connection.py
+++ b/src/cyclamenvane/mesh/connection.py
@@ -18,12 +18,14 @@
 from .watch import WaitResult, Watch
 
 if TYPE_CHECKING:
+    from ..clock import Clock
     from .model import Address
 
 __all__ = [
     "DONT_WAIT",
     "INITIAL_RECEIVE_BYTES",
     "RECEIVE_BYTES",
+    "discard_until_end",
     "is_idle",
     "open_connection",
     "open_listener",
@@ -38,6 +40,7 @@
 _SEND_FLAGS = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 DONT_WAIT = int(socket.MSG_DONTWAIT)
+_MILLISECOND = timedelta(milliseconds=1)
 _BACKLOG = 1024  # connections that may arrive while no task accepts
 
 
@@ -132,6 +135,25 @@
                 raise TimeoutError("the caller reads too slowly") from None
 
 
+def discard_until_end(sock: socket.socket, clock: Clock, until: timedelta) -> None:
+    """End sending, and discard what the peer sends until it closes the connection.
+
+    If a connection is closed with unread data, the kernel resets it and drops what it
+    has not sent yet. Return at `until` at the latest, in monotonic time.
+    """
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while (left := until - clock.monotonic()) > timedelta():
+            if poll.poll(left // _MILLISECOND + 1):
+                if not sock.recv(RECEIVE_BYTES, DONT_WAIT):
+                    return
+    except OSError:
+        # The peer has reset the connection, so nothing more can be delivered.
+        return
+
+
 def _send_rest(sock: socket.socket, data: bytes, sent: int) -> int:
     # A view costs about as much as copying a small frame, and nearly all data is sent
     # at once.
--- a/tests/mesh/test_planned_stop.py
+++ b/tests/mesh/test_planned_stop.py
@@ -154,3 +154,45 @@
     calls.stop()
     assert [each.status for each in calls.responses] == [504]
     assert not calls.cut
+
+
+@pytest.mark.parametrize("stops", [True, False])
+def test_a_large_response_is_whole_although_requests_stay_unread(pair, stops):
+    """Guards against a reset by the kernel, which drops what it has not sent yet."""
+    entry, remote = pair
+    size = 12_000_000
+    executed = []
+
+    def script(sock, request):
+        executed.append(request)
+        time.sleep(0.4)
+        return make_response(request, b"y" * size)
+
+    remote.target.script = script
+    with entry.connect() as sock:
+        sock.sendall(make_request(attempt="a0"))
+        wait_until(lambda: executed)
+        if stops:
+            entry.node.executor.submit(entry.node.stop)
+            wait_until(lambda: entry.node.caller_server.draining)
+            sock.sendall(make_request(attempt="a1"))
+        else:
+            sock.sendall(b"\x00 no request\r\n\r\n" + make_request(attempt="a1"))
+        received = 0
+        while data := sock.recv(65536):
+            received += len(data)
+            time.sleep(0.002)  # a slow reader: the kernel holds the end of the response
+        assert received > size
+
+
+def test_a_refused_upload_gets_its_response(pair):
+    """Guards against a reset that drops the refusal of a body that is still sent."""
+    entry, _ = pair
+    head = make_request("/orders/", "POST", attempt="u0")[:-2]
+    head += b"Content-Length: 50000000\r\n\r\n"
+    for _ in range(20):
+        with entry.connect() as sock:
+            sock.sendall(head + b"x" * 300_000)
+            time.sleep(0.02)
+            sock.sendall(b"x" * 300_000)
+            assert [each.status for each in read_responses(sock)] == [413]
