Take only a response that names its attempt for a call that may run once

Such a call takes only a response with its attempt header. Calls that may be repeated still take a rejection without it, which is a retry at most.

The stand-ins of targets rejected without the header, which no target of the platform does: "Servers echo X-Attempt-Id in their responses". They send it now; the tests ask for as much as before.

The three new cases failed before.

--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -142,7 +142,7 @@
         method = head[: head.find(b" ")]
         reader = ResponseReader(
             method,
-            self._make_matcher(attempt),
+            self._make_matcher(attempt, idempotent),
             MAX_OVERHEAD_BYTES,
             self._max_body_bytes,
         )
@@ -225,12 +225,17 @@
         )
 
     def _make_matcher(
-        self, attempt: bytes | None
+        self, attempt: bytes | None, idempotent: bool
     ) -> Callable[[int, list[tuple[bytes, bytes]]], bool]:
+        # Early rejections do not always carry the attempt header. Without it they may
+        # be stray, and a call that is taken for rejected runs twice.
+        allow_unidentified = idempotent or attempt is None
+
         def matches_request(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
             echoed = find_header(headers, self._header_names.attempt)
-            # Early rejections do not always carry the attempt header.
-            return echoed == attempt or (echoed is None and status >= 400)
+            return echoed == attempt or (
+                allow_unidentified and echoed is None and status >= 400
+            )
 
         return matches_request
 
--- a/tests/mesh/target_standin.py
+++ b/tests/mesh/target_standin.py
@@ -121,7 +121,7 @@
         """
         expected_instance = find_header(request.headers, b"x-expected-instance")
         if expected_instance != self.instance.encode():
-            return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+            return make_response(request, b"", b"421 Misdirected Request")
         with self._lock:
             self.executed.append(request)
             self.executed_at.append(time.monotonic())
--- a/tests/mesh/test_duplicate_response.py
+++ b/tests/mesh/test_duplicate_response.py
@@ -1,8 +1,9 @@
-"""Targets that send a second copy of a response, late."""
+"""Targets that send a second copy of a response, or a stray one, late."""
 
 from __future__ import annotations
 
 import threading
+import time
 from datetime import timedelta
 
 import pytest
@@ -102,6 +103,30 @@
     target.close()
 
 
+@pytest.mark.parametrize(
+    "stray",
+    [
+        b"HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_response_without_an_attempt_is_none_to_a_call_that_may_run_once(pair, stray):
+    """Guards against a call that a stray response makes run twice, or look refused."""
+    entry, remote = pair
+
+    def respond(sock, request):
+        sock.sendall(stray)
+        time.sleep(0.05)
+        return remote.target.execute(sock, request)
+
+    remote.target.script = respond
+    for number in range(CALLS):
+        response = entry.call("/orders/", "POST", b"x", attempt=f"s{number}")
+        assert response.status == 200
+    assert len(list_executed(remote)) == CALLS
+
+
 def make_upstream(target) -> Upstream:
     memory = ResponseMemory(1_000_000)
     return Upstream(target.address, HEADERS, 1_000_000, memory, SystemClock())
--- a/tests/mesh/test_node.py
+++ b/tests/mesh/test_node.py
@@ -148,7 +148,7 @@
 
     def refuse(sock, request):
         refused.append(request)
-        return b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        return make_response(request, b"", b"503 X", b"X-Not-Executed: 1\r\n")
 
     refused = []
     first.target.script = refuse
