--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -144,7 +144,6 @@
                     return None
                 resumed = False
                 if not self._serve_next():
-                    self._finish_sending()
                     return None
         except OSError:
             # The caller's connection failed; `close` cancels its calls.
@@ -164,11 +163,16 @@
     def _serve_next(self) -> bool:
         request = self._next_request()
         if request is None:
+            self._finish_sending()
             return False
         with self._caller_server.in_flight:
             self._start_pipelined()
             result = self._caller_server.handle(request, self._watch)
-            return self._write(result, request.keep_alive) and self._write_pending()
+            stays_open = self._write(result, request.keep_alive)
+            stays_open = stays_open and self._write_pending()
+            if not stays_open:
+                self._finish_sending()
+            return stays_open
 
     def close(self) -> None:
         """Cancel pipelined calls that are still served; release reserved memory."""
@@ -318,9 +322,8 @@
             return
         large = self._last_response_bytes > _UNSENT_BYTES
         if large or not is_idle(self.sock):
-            with self._caller_server.in_flight:
-                until = self._clock.monotonic() + _CLOSE_TIMEOUT
-                discard_until_end(self.sock, self._clock, until)
+            until = self._clock.monotonic() + _CLOSE_TIMEOUT
+            discard_until_end(self.sock, self._clock, until)
 
     def _reject(self, status: HTTPStatus, retry_after: timedelta | None = None) -> None:
         self._caller_server.metrics.record_rejected_request(status)
