Limit the durations of a configuration and of heartbeats

A node that waited for the rest of a head ended if the configuration named a huge headerTimeoutS: such a duration cannot be polled for.

--- a/src/cyclamenvane/platform/documents.py
+++ b/src/cyclamenvane/platform/documents.py
@@ -58,6 +58,8 @@
 )
 
 _T = TypeVar("_T")
+# Ten days. A longer duration may overflow when it is added to a time, or polled for.
+_MAX_SECONDS = 864_000
 _MAX_VERSION = 2**63 - 1  # of a number between nodes
 
 
@@ -311,7 +313,7 @@
         raise TypeError(f"expected a number of seconds, got {value!r}")
     if value < 0:
         raise ValueError(f"expected no negative number of seconds, got {value!r}")
-    return timedelta(seconds=value)
+    return timedelta(seconds=min(value, _MAX_SECONDS))
 
 
 def _decode_address(text: str) -> Address:
--- a/tests/mesh/test_odd_documents.py
+++ b/tests/mesh/test_odd_documents.py
@@ -4,6 +4,8 @@
 
 import itertools
 import json
+import time
+from datetime import timedelta
 
 import pytest
 from mesh_harness import make_request, route, wait_until
@@ -43,6 +45,7 @@
         wait_until(lambda: entry.node.configuration.version() == version)
         with entry.connect() as sock:
             sock.sendall(make_request(attempt=f"c{number}")[:20])
+            time.sleep(0.05)  # the node waits for the rest
             sock.sendall(make_request(attempt=f"c{number}")[20:])
             assert sock.recv(65536)
     assert not list_broken()
@@ -93,6 +96,14 @@
         yield "address", f"127.0.0.1:{port}"
 
 
+@pytest.mark.parametrize("seconds", [HUGE, 8.5e13, 1e308, 864_001])
+def test_durations_are_limited(seconds):
+    """Guards against a duration that cannot be added to a time or waited for."""
+    document = {"version": "r1", "routes": [route(timeoutS=seconds)], "services": []}
+    decoded = decode_configuration(json.dumps(document).encode()).ok
+    assert decoded.routes[0].timeout == timedelta(days=10)
+
+
 def test_odd_heartbeats_end_no_node(watched):
     """Guards against a heartbeat whose values fail only once they are used."""
     mesh, list_broken = watched
