--- a/src/cyclamenvane/mesh/shutdown.py
+++ b/src/cyclamenvane/mesh/shutdown.py
@@ -1,7 +1,7 @@
 """Which calls a stopping node still serves.
 
-A call that outlasts its process ends without an answer, and may have run. So root calls
-are served until the other nodes and the callers know that the node stops. A nested call
+A call that outlasts its process ends without an answer, and may have run. Root calls
+are served until failed readiness probes have sent callers to other nodes. A nested call
 belongs to a root that is served already: later, it is served if it can end in time.
 
     shutdown = plan_shutdown(now, grace_period)
