Do not take a cut head for the whole head of a response

Callers of the first daemon got a 204, or an empty 200, that lacked headers of its target; the mesh took a cut 412 of the store for a conflict, a cut 503 for "nothing done", and a 410 without its epoch for a restored store. Cause: http.client ends a head, and the trailers, where the connection ends, ends a body that is read in parts there too, and returns interim responses other than 100 as final ones. All connections of http.client in the package are made by http_client now, whose lines have to have their ends, so no caller can read a part of a head.

--- a/src/cyclamenvane/cli/client.py
+++ b/src/cyclamenvane/cli/client.py
@@ -10,6 +10,7 @@
 
 from expression import Error, Ok, Result
 
+from ..http_client import HTTPConnection
 from ..settings import split_address
 
 __all__ = ["ControlClient", "ControlError"]
@@ -58,7 +59,7 @@
         self, method: str, path: str, body: bytes | None
     ) -> tuple[int, dict[str, Any]]:
         host, port = split_address(self.address)
-        connection = http.client.HTTPConnection(host, port, timeout=_TIMEOUT_S)
+        connection = HTTPConnection(host, port, timeout=_TIMEOUT_S)
         try:
             headers = {"Authorization": f"Bearer {self._key}"}
             connection.request(method, path, body, headers)
--- a/src/cyclamenvane/node/connection.py
+++ b/src/cyclamenvane/node/connection.py
@@ -23,6 +23,7 @@
     make_refusal,
     make_unknown_response,
 )
+from ..http_client import HTTPConnection, HTTPResponse
 from .http import HOP_BY_HOP_HEADERS
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
 _BODYLESS_STATUS = frozenset({204, 304})
 
 
-class _Connection(http.client.HTTPConnection):
+class _Connection(HTTPConnection):
     def connect(self) -> None:
         """Connect, with TCP_NODELAY set."""
         super().connect()
@@ -181,7 +182,7 @@
 
 
 def _read_body(
-    response: http.client.HTTPResponse, method: str, finish: _ExchangeEnd
+    response: HTTPResponse, method: str, finish: _ExchangeEnd
 ) -> bytes | ChunkedBody | None:
     reusable = not response.will_close
     bodyless = method == "HEAD" or response.status in _BODYLESS_STATUS
@@ -201,7 +202,7 @@
 
 
 def _read_rest(
-    response: http.client.HTTPResponse,
+    response: HTTPResponse,
     first: bytes,
     finish: _ExchangeEnd,
     reusable: bool,
@@ -216,8 +217,7 @@
     finish(response.status, reusable)
 
 
-def _read_up_to(response: http.client.HTTPResponse, count: int) -> bytes:
-    expected = response.length
+def _read_up_to(response: HTTPResponse, count: int) -> bytes:
     parts: list[bytes] = []
     missing = count
     while missing:
@@ -226,13 +226,10 @@
             break
         parts.append(part)
         missing -= len(part)
-    data = b"".join(parts)
-    if expected is not None and len(data) < min(count, expected):
-        raise http.client.IncompleteRead(data)
-    return data
+    return b"".join(parts)
 
 
-def _end_to_end_headers(response: http.client.HTTPResponse) -> Headers:
+def _end_to_end_headers(response: HTTPResponse) -> Headers:
     return tuple(
         (name, value)
         for name, value in response.getheaders()
--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -20,6 +20,7 @@
 import orjson
 from expression import Error, Ok, Result
 
+from ..http_client import HTTPConnection
 from ..mesh.keepalive import enable_keepalive
 from ..mesh.model import Address
 from ..mesh.rows import (
@@ -52,7 +53,7 @@
     def __init__(self, address: Address, timeout: timedelta) -> None:
         self._address = address
         self._timeout = timeout.total_seconds()
-        self._connection: http.client.HTTPConnection | None = None
+        self._connection: HTTPConnection | None = None
         self._epoch = 0  # of the last response
 
     def read(self, table: str, part: str) -> Result[RowsPage, RowsError]:
@@ -175,12 +176,10 @@
             return Error(RowsError(RowsFailure.REJECTED, repr(error)))
         return Ok(RowsPage(changes, version))
 
-    def _connect(self, timeout: float) -> http.client.HTTPConnection:
+    def _connect(self, timeout: float) -> HTTPConnection:
         # A response with `Connection: close` leaves a connection without a socket.
         if self._connection is None or self._connection.sock is None:
-            connection = http.client.HTTPConnection(
-                *self._address, timeout=self._timeout
-            )
+            connection = HTTPConnection(*self._address, timeout=self._timeout)
             connection.connect()
             enable_keepalive(connection.sock)
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/cyclamenvane/store/http.py
+++ b/src/cyclamenvane/store/http.py
@@ -18,6 +18,7 @@
 import msgpack
 from expression import Error, Ok, Result
 
+from ..http_client import HTTPConnection
 from ..kernel import hookimpl
 from ..settings import split_address
 from .interface import Failure, PlatformError, Row, Write
@@ -50,7 +51,7 @@
             self._slots.release()
 
     def _exchange(self, path: str, body: bytes) -> Result[Any, PlatformError]:
-        connection = http.client.HTTPConnection(*self._address, timeout=self._timeout)
+        connection = HTTPConnection(*self._address, timeout=self._timeout)
         try:
             connection.connect()
         except OSError as error:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from cut_messages import CuttingServer
 from harness import Cluster
 from hypothesis import HealthCheck, settings
 from manual_clock import ManualClock
@@ -49,3 +50,10 @@
     yield created
     created.close()
     assert created.broken == []
+
+
+@pytest.fixture
+def cutting_server():
+    created = CuttingServer()
+    yield created
+    created.close()
