Reject a response whose transfer encoding is not chunks alone

Callers could get a 200 with a short body: with two Transfer-Encoding headers the parser goes by the last and the check of the length by the first, so a chunked response that was cut ended with its connection like one without a length. A body in another encoding was passed on without the header that says so. Only a single "chunked" is a framing now; all else is a broken response.

--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -311,7 +311,18 @@
     def _has_length(self) -> bool:
         if self.status < 200 or self.status in (204, 304):
             return True
-        encoding = find_header(self.headers, b"transfer-encoding")
-        if encoding is not None:
-            return encoding.lower().endswith(b"chunked")
+        if find_header(self.headers, b"transfer-encoding") is not None:
+            self._check_encoding()
+            return True
         return find_header(self.headers, b"content-length") is not None
+
+    def _check_encoding(self) -> None:
+        # The parser goes by the last of several encodings. With any but chunks, a body
+        # that is cut would end with the connection like a whole one.
+        names = [
+            value.strip().lower()
+            for name, value in self.headers
+            if name == b"transfer-encoding"
+        ]
+        if names != [b"chunked"]:
+            raise ValueError(names)
