Take only a response that names its attempt, also for calls that may be repeated

Callers were told "not run" for calls that a target was running, and such calls ran at further targets: a copy of an earlier refusal without the attempt header counted as the response to any call that may be repeated. A call without an attempt header took any response without one. Evidence: test_refusal_of_an_earlier_call_is_none_of_one_that_is_running [None-/items/], test_calls_beside_each_other_take_no_copy_of_a_refusal [/items/-False] and test_call_without_an_attempt_header_has_a_connection_of_its_own failed before. Targets echo the header in all responses, as the platform says. A response is bound to its attempt by the header; where there is none, by a connection that carries nothing else.

--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -1,8 +1,10 @@
 """Connection pool to the local target, and request/response exchanges on it.
 
 A connection carries one request at a time. It is reused only if the response ended
-at its declared length and no further data followed. It does not carry an attempt again
-that was rejected on it: a late duplicate of the rejection has the same attempt header.
+at its declared length and no further data followed. The response to a request is the
+one with its attempt header, whatever else arrives before it. So a connection does not
+carry an attempt again that was rejected on it, and a request without an attempt header
+has a connection of its own.
 """
 
 from __future__ import annotations
@@ -127,7 +129,9 @@
 
         `until` is in monotonic time. Connection errors are reported in the result.
         """
-        connection = self._take_idle(attempt, check=not idempotent)
+        connection = None
+        if attempt is not None:
+            connection = self._take_idle(attempt, check=not idempotent)
         if connection is None:
             try:
                 connection = _Connection(
@@ -142,7 +146,7 @@
         method = head[: head.find(b" ")]
         reader = ResponseReader(
             method,
-            self._make_matcher(attempt, idempotent),
+            self._make_matcher(attempt),
             MAX_OVERHEAD_BYTES,
             self._max_body_bytes,
         )
@@ -155,7 +159,7 @@
             result = self._read(sock, reader, reservation, watch, until)
             if result.outcome is ExchangeOutcome.ANSWERED:
                 sent_all = sent == len(head) + len(body)
-                keep = sent_all and reader.keep_alive
+                keep = sent_all and reader.keep_alive and attempt is not None
                 if is_rejection(result.status, result.headers, self._header_names):
                     connection.rejected.add(hash(attempt))
                     keep = keep and len(connection.rejected) <= _MAX_REJECTED_ATTEMPTS
@@ -225,17 +229,10 @@
         )
 
     def _make_matcher(
-        self, attempt: bytes | None, idempotent: bool
+        self, attempt: bytes | None
     ) -> Callable[[int, list[tuple[bytes, bytes]]], bool]:
-        # Early rejections do not always carry the attempt header. Without it they may
-        # be stray, and a call that is taken for rejected runs twice.
-        allow_unidentified = idempotent or attempt is None
-
         def matches_request(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
-            echoed = find_header(headers, self._header_names.attempt)
-            return echoed == attempt or (
-                allow_unidentified and echoed is None and status >= 400
-            )
+            return find_header(headers, self._header_names.attempt) == attempt
 
         return matches_request
 
