Go on with an upload when a response to another call arrives

Callers got a 504 for an upload during which its target wrote an earlier refusal again: any data ended the sending, so the target waited for the rest of the body, and the call for its response. Evidence: test_refusal_that_is_written_again_during_an_upload_does_not_end_it failed before; the target got no whole body. Sending and reading are one loop now, which ends with the response to the request. A target that reads no more and has responded is still answered.

--- a/src/cyclamenvane/mesh/connection.py
+++ b/src/cyclamenvane/mesh/connection.py
@@ -30,6 +30,7 @@
     "open_connection",
     "open_listener",
     "send_all",
+    "send_rest",
     "send_to_caller",
     "set_receive_timeout",
 ]
@@ -108,7 +109,7 @@
     sent = 0
     while sent < len(data):
         try:
-            sent += _send_rest(sock, data, sent)
+            sent += send_rest(sock, data, sent)
         except BlockingIOError:
             wait_result = watch.wait(sock.fileno(), until, write=True)
             if wait_result is not WaitResult.READY:
@@ -128,7 +129,7 @@
     sent = 0
     while sent < len(data):
         try:
-            sent += _send_rest(sock, data, sent)
+            sent += send_rest(sock, data, sent)
         except BlockingIOError:
             if not watch.wait_caller_writable(until):
                 # What follows would be read as the rest of this response.
@@ -154,7 +155,11 @@
         return
 
 
-def _send_rest(sock: socket.socket, data: bytes, sent: int) -> int:
+def send_rest(sock: socket.socket, data: bytes, sent: int) -> int:
+    """Send what the socket takes of the data after the first `sent` bytes.
+
+    Return how many bytes it took; raise BlockingIOError if it takes none.
+    """
     # A view costs about as much as copying a small frame, and nearly all data is sent
     # at once.
     return sock.send(memoryview(data)[sent:] if sent else data, _SEND_FLAGS)
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from .connection import RECEIVE_BYTES, is_idle, open_connection, send_all
+from .connection import DONT_WAIT, RECEIVE_BYTES, is_idle, open_connection, send_rest
 from .heads import HeaderNames, Headers, find_header, is_rejection
 from .memory import ResponseMemory, ResponseReservation
 from .message import ResponseReader
@@ -153,13 +153,11 @@
         reservation = self._memory.open()
         keep = False
         try:
-            wait_result, sent = send_all(sock, head + body, watch, until)
-            if wait_result is not WaitResult.READY:
-                return _interrupted_exchange(wait_result)
-            result = self._read(sock, reader, reservation, watch, until)
+            result, sent_whole = self._transfer(
+                sock, head + body, reader, reservation, watch, until
+            )
             if result.outcome is ExchangeOutcome.ANSWERED:
-                sent_all = sent == len(head) + len(body)
-                keep = sent_all and reader.keep_alive and attempt is not None
+                keep = sent_whole and reader.keep_alive and attempt is not None
                 if is_rejection(result.status, result.headers, self._header_names):
                     connection.rejected.add(hash(attempt))
                     keep = keep and len(connection.rejected) <= _MAX_REJECTED_ATTEMPTS
@@ -200,33 +198,64 @@
         for connection in idle:
             connection.sock.close()
 
-    def _read(
+    def _transfer(
         self,
         sock: socket.socket,
+        data: bytes,
         reader: ResponseReader,
         reservation: ResponseReservation,
         watch: Watch,
         until: timedelta,
-    ) -> ExchangeResult:
+    ) -> tuple[ExchangeResult, bool]:
+        """Send a request and read its response; return whether all was sent.
+
+        Sending goes on until the response is whole: what arrives before it may belong
+        to another request.
+        """
+        sent, refused = 0, False
         while not reader.complete:
-            wait_result = watch.wait(sock.fileno(), until)
+            sending = sent < len(data) and not refused
+            if sending:
+                try:
+                    sent += send_rest(sock, data, sent)
+                    continue
+                except BlockingIOError:
+                    # The socket can take more once the target has read.
+                    pass
+                except OSError:
+                    # The target reads no more, but may have responded before.
+                    sending, refused = False, True
+            wait_result = watch.wait(sock.fileno(), until, write=sending)
             if wait_result is not WaitResult.READY:
-                return _interrupted_exchange(wait_result)
-            data = sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
-            if data:
-                reader.feed(data)
-            else:
-                reader.feed_eof()
-                if not reader.complete:
-                    return ExchangeResult(ExchangeOutcome.BROKEN, detail="ended early")
-            if reader.malformed:
-                return ExchangeResult(ExchangeOutcome.BROKEN, detail="not a response")
-            if not reader.complete and not reservation.cover(reader.held_bytes):
-                detail = f"responses hold {self._memory.reserved()} bytes"
-                return ExchangeResult(ExchangeOutcome.BROKEN, detail=detail)
-        return ExchangeResult(
+                return _interrupted_exchange(wait_result), False
+            if not (sending and is_idle(sock)):
+                problem = self._receive(sock, reader, reservation)
+                if problem:
+                    return ExchangeResult(ExchangeOutcome.BROKEN, detail=problem), False
+        result = ExchangeResult(
             ExchangeOutcome.ANSWERED, reader.status, tuple(reader.headers), reader.body
         )
+        return result, sent == len(data)
+
+    def _receive(
+        self,
+        sock: socket.socket,
+        reader: ResponseReader,
+        reservation: ResponseReservation,
+    ) -> str:
+        """Read what has arrived of a response; return why it is broken, if it is."""
+        data = sock.recv(RECEIVE_BYTES, DONT_WAIT)
+        if data:
+            reader.feed(data)
+        else:
+            reader.feed_eof()
+            if not reader.complete:
+                return "ended early"
+        if reader.malformed:
+            return "not a response"
+        if not reader.complete and not reservation.cover(reader.held_bytes):
+            return f"responses hold {self._memory.reserved()} bytes"
+        return ""
 
     def _make_matcher(
         self, attempt: bytes | None
--- a/tests/mesh/test_second_refusal.py
+++ b/tests/mesh/test_second_refusal.py
@@ -13,13 +13,14 @@
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.heads import find_header
 from cyclamenvane.mesh.memory import ResponseMemory
-from cyclamenvane.mesh.upstream import Upstream
+from cyclamenvane.mesh.upstream import ExchangeOutcome, Upstream
 from cyclamenvane.mesh.watch import watch_no_caller
 from cyclamenvane.platform.headers import HEADERS
 
 NOT_RUN = b"X-Not-Executed: 1\r\n"
 UNAVAILABLE = b"503 Service Unavailable"
 CALLS = 5
+LARGE = b"x" * 8_000_000  # more than the buffers of a connection
 
 
 def make_refusal(attempt: bytes | None) -> bytes:
@@ -122,9 +123,9 @@
     assert answered <= set(executed)
 
 
-def make_upstream(target) -> Upstream:
+def make_upstream(address) -> Upstream:
     memory = ResponseMemory(1_000_000)
-    return Upstream(target.address, HEADERS, 1_000_000, memory, SystemClock())
+    return Upstream(address, HEADERS, 1_000_000, memory, SystemClock())
 
 
 def exchange(upstream, attempt: bytes | None, body: bytes = b""):
@@ -140,7 +141,7 @@
 def test_call_without_an_attempt_header_has_a_connection_of_its_own():
     """Guards against a copy that nothing tells from the response to such a call."""
     target = TargetStandIn()
-    upstream = make_upstream(target)
+    upstream = make_upstream(target.address)
     target.script = lambda sock, request: make_response(request, b"whole")
     exchange(upstream, b"a1")
     target.script = lambda sock, request: (
@@ -150,3 +151,51 @@
         assert exchange(upstream, None).body == b"whole"
         assert upstream.opened == 2 + number
     target.close()
+
+
+def test_refusal_that_is_written_again_during_an_upload_does_not_end_it():
+    """Guards against a body that is not sent on, for which the target waits."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    received = []
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        with sock:
+            data = sock.recv(65536)
+            sock.sendall(make_refusal(b"earlier"))
+            time.sleep(0.1)
+            size = len(data) - data.index(b"\r\n\r\n") - 4
+            while size < len(LARGE):
+                size += len(sock.recv(65536))
+            received.append(size)
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: u1\r\nX-Upstream-Signature: s\r\n"
+                b"Content-Length: 5\r\n\r\nwhole"
+            )
+            sock.recv(1)
+
+    threading.Thread(target=serve, daemon=True).start()
+    result = exchange(make_upstream(listener.getsockname()), b"u1", LARGE)
+    listener.close()
+    assert received == [len(LARGE)]
+    assert result.outcome is ExchangeOutcome.ANSWERED and result.body == b"whole"
+
+
+def test_early_refusal_in_pieces_is_read_whole_during_an_upload():
+    """Guards against a refused upload that counts as broken off."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        with sock:
+            sock.recv(65536)
+            refusal = make_refusal(b"u1")
+            for piece in (refusal[:20], refusal[20:]):
+                sock.sendall(piece)
+                time.sleep(0.1)
+            sock.recv(1)
+
+    threading.Thread(target=serve, daemon=True).start()
+    result = exchange(make_upstream(listener.getsockname()), b"u1", LARGE)
+    listener.close()
+    assert result.outcome is ExchangeOutcome.ANSWERED and result.status == 503
