Bind the result of a forwarded request to it by a number

A node that sends a result twice makes the next call on the stream look refused while it runs. No node is known to do so; only the order on the stream told whose result it was, and the kind of a frame was not looked at. A request carries the number of its exchange and its result the same; another one, or data after the result, ends the stream and leaves the outcome unknown. Nodes of an earlier release send none and ignore it.

--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -145,7 +145,8 @@
     `head` lacks the header lines that the last hop adds. `remaining` is the time
     left until the deadline, `max_wait` the time the call may be queued. `crashes` is
     the number of targets that crashed while they ran it. `extended` is whether the
-    sender reads the extension of a result; nodes of an earlier release do not.
+    sender reads the extension of a result; nodes of an earlier release do not. `number`
+    is that of the exchange, which its result has as well; 0 from an earlier release.
     """
 
     service: str
@@ -159,6 +160,7 @@
     version: int
     crashes: int
     extended: bool
+    number: int
 
     def __init__(
         self,
@@ -173,6 +175,7 @@
         version: int,
         crashes: int = 0,
         extended: bool = True,
+        number: int = 0,
     ) -> None:
         self.service = service
         self.head = head
@@ -185,9 +188,10 @@
         self.version = version
         self.crashes = crashes
         self.extended = extended
+        self.number = number
 
-    def pack(self) -> list[Any]:
-        """Encode the request as a frame."""
+    def pack(self, number: int = 0) -> list[Any]:
+        """Encode the request as a frame, with the number of the exchange."""
         return [
             FrameKind.FORWARD,
             self.service,
@@ -202,6 +206,7 @@
             # Nodes of an earlier release ignore what follows.
             self.crashes,
             self.extended,
+            number,
         ]
 
     @classmethod
@@ -233,6 +238,7 @@
             version,
             optional[0] if optional else 0,
             bool(optional[1]) if len(optional) > 1 else False,
+            _check_count(optional[2]) if len(optional) > 2 else 0,
         )
 
 
@@ -243,7 +249,7 @@
     `head` lacks the empty line at its end. `retry_after` is the time after which the
     target may admit a call that was not run. `usage` is what the call and its nested
     calls asked of services other than its own. `reports_usage` is false if the node of
-    the target does not report it.
+    the target does not report it. `number` is that of the request.
     """
 
     verdict: Verdict
@@ -256,6 +262,7 @@
     load: Load
     usage: tuple[ServiceUsage, ...]
     reports_usage: bool
+    number: int
 
     def __init__(
         self,
@@ -269,6 +276,7 @@
         load: Load = NO_LOAD,
         usage: tuple[ServiceUsage, ...] = (),
         reports_usage: bool = True,
+        number: int = 0,
     ) -> None:
         self.verdict = verdict
         self.reason = reason
@@ -280,6 +288,7 @@
         self.load = load
         self.usage = usage
         self.reports_usage = reports_usage
+        self.number = number
 
     def with_load(self, load: Load, usage: tuple[ServiceUsage, ...]) -> ForwardResult:
         """Return the result with the load and the usage to report."""
@@ -297,8 +306,8 @@
             self.reports_usage,
         )
 
-    def pack(self, extended: bool) -> list[Any]:
-        """Encode the result as a frame, `extended` as its request says."""
+    def pack(self, extended: bool, number: int = 0) -> list[Any]:
+        """Encode the result as a frame, `extended` and with `number` of its request."""
         load = self.load
         frame = [
             FrameKind.RESULT,
@@ -319,18 +328,23 @@
             usage = [[each.service, each.calls, each.rejections] for each in self.usage]
             wait_us = load.queue_wait // _MICROSECOND if load.queue_wait else 0
             time_us = load.call_time // _MICROSECOND if load.call_time else 0
-            frame.append([wait_us, time_us, usage])
+            frame.append([wait_us, time_us, usage, number])
         return frame
 
     @classmethod
     def unpack(cls, frame: list[Any]) -> ForwardResult:
         """Decode a result from a frame; raises ValueError or TypeError if invalid."""
-        _, verdict, reason, status, head, body, retry_after, detail, *load = frame
+        kind, verdict, reason, status, head, body, retry_after, detail, *load = frame
+        if kind != FrameKind.RESULT:
+            raise ValueError(f"not a result: {kind!r}")
         in_flight, limit, level, version, leaving = load[:_LOAD_FIELDS]
         queue_wait = call_time = _NO_TIME
         usage: tuple[ServiceUsage, ...] = ()
+        number = 0
         if len(load) > _LOAD_FIELDS:
-            wait_us, time_us, entries, *_ = load[_LOAD_FIELDS]
+            wait_us, time_us, entries, *optional = load[_LOAD_FIELDS]
+            if optional:
+                number = _check_count(optional[0])
             if wait_us:
                 queue_wait = _check_count(wait_us) * _MICROSECOND
             if time_us:
@@ -348,6 +362,7 @@
             Load(in_flight, limit, level, version, leaving, queue_wait, call_time),
             usage,
             len(load) > _LOAD_FIELDS,
+            number,
         )
 
 
--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -30,6 +30,7 @@
     ) -> None:
         self.sock = sock
         self._unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self._fed_bytes = 0
 
     def send(self, frame: list[Any], watch: Watch, until: timedelta) -> WaitResult:
         """Send a frame; raise OSError if the connection fails."""
@@ -65,6 +66,10 @@
             except BlockingIOError:
                 return None
 
+    def is_drained(self) -> bool:
+        """Return whether nothing was received after the last frame."""
+        return self._unpacker.tell() == self._fed_bytes
+
     def close(self) -> None:
         """Close the connection."""
         self.sock.close()
@@ -77,6 +82,7 @@
             raise FrameError("connection closed by the peer")
         try:
             self._unpacker.feed(data)
+            self._fed_bytes += len(data)
         except msgpack.BufferFull as error:
             raise FrameError("frame too large") from error
 
--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from .connection import is_idle, open_connection
+from .errors import FrameError
 from .forward import ForwardRequest, ForwardResult, Reason, Verdict
 from .frames import FrameStream
 from .watch import WaitResult, Watch
@@ -41,6 +43,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[Address, deque[_IdleConnection]] = {}
+        self._numbers = itertools.count(1)
         self._lock = threading.Lock()
 
     def forward(
@@ -56,11 +59,15 @@
         except OSError as error:
             return ForwardResult(Verdict.NOT_RUN, Reason.UNREACHABLE, detail=str(error))
         try:
-            wait_result = stream.send(request.pack(), watch, until)
+            number = next(self._numbers)
+            wait_result = stream.send(request.pack(number), watch, until)
             if wait_result is WaitResult.READY:
                 wait_result, frame = stream.receive(watch, until)
             if wait_result is WaitResult.READY:
                 result = ForwardResult.unpack(frame)
+                # Nodes of an earlier release send no number.
+                if result.number not in (0, number):
+                    raise FrameError(f"result {result.number} of request {number}")
                 self._store_idle(address, stream)
                 return result
         except (OSError, ValueError, TypeError, OverflowError) as error:
@@ -143,6 +150,9 @@
             connection.stream.close()
 
     def _store_idle(self, address: Address, stream: FrameStream) -> None:
+        if not stream.is_drained():
+            stream.close()
+            return
         now = self._clock.monotonic()
         excess = []
         with self._lock:
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -74,7 +74,8 @@
             if request.version > self._get_version():
                 address = self._find_address(sock)
                 self._peer_sync.add_newer_version(request.version, address)
-            return self._target_proxy.execute(request, watch).pack(request.extended)
+            result = self._target_proxy.execute(request, watch)
+            return result.pack(request.extended, request.number)
         if kind == FrameKind.TOKENS:
             return self._answer_tokens(frame, watch)
         if kind == FrameKind.FOLLOW:
