Give each call to the store a connection of its own

A write that the store had done counted as refused, and each later response on the connection as that to the next call, if the store wrote a refusal twice: a response names no request, and the connection was kept. Evidence: test_refusal_that_is_written_again_is_none_of_the_next_call[False] failed before. Calls are few, so a connection costs little. An interrupt while it opens was lost, which its test shows failed as well; it now ends the call.

--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -1,8 +1,10 @@
 """Client of the platform's row store, over HTTP with JSON bodies.
 
-A `RowsClient` holds one connection and is used by one task. A call whose
-connection fails after the request was sent has an unknown outcome: the store may
-still apply it later, so writes carry the version that the row is expected to have.
+A `RowsClient` is used by one task. Each call has a connection of its own: a response
+names no request, so on a kept connection one that is written twice would count as that
+to the next call. A call whose connection fails after the request was sent has an
+unknown outcome: the store may still apply it later, so writes carry the version that
+the row is expected to have.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 import base64
 import http.client
 import socket
+import threading
 from collections.abc import Sequence
 from contextlib import suppress
 from datetime import timedelta
@@ -53,7 +56,9 @@
     def __init__(self, address: Address, timeout: timedelta) -> None:
         self._address = address
         self._timeout = timeout.total_seconds()
-        self._connection: HTTPConnection | None = None
+        self._connection: HTTPConnection | None = None  # of the call in progress
+        self._interrupted = False
+        self._lock = threading.Lock()
         self._epoch = 0  # of the last response
 
     def read(self, table: str, part: str) -> Result[RowsPage, RowsError]:
@@ -116,17 +121,19 @@
 
     def interrupt(self) -> None:
         """Let the call in progress, if any, fail; for use by other tasks."""
-        connection = self._connection
-        sock = connection.sock if connection is not None else None
-        if sock is not None:
-            with suppress(OSError):  # the connection has ended already
-                sock.shutdown(socket.SHUT_RDWR)
+        with self._lock:
+            self._interrupted = True
+            sock = self._connection.sock if self._connection is not None else None
+            if sock is not None:
+                with suppress(OSError):  # the connection has ended already
+                    sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Close the connection; the next call opens a new one."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        """Close the connection of a call that has ended."""
+        with self._lock:
+            if self._connection is not None:
+                self._connection.close()
+                self._connection = None
 
     def _call(
         self,
@@ -146,12 +153,12 @@
             response = connection.getresponse()
             data = response.read(_MAX_RESPONSE_BYTES + 1)
         except _CONNECTION_ERRORS as error:
-            self.close()
             failure = RowsFailure.UNKNOWN if sent else RowsFailure.UNAVAILABLE
             return Error(RowsError(failure, repr(error)))
+        finally:
+            self.close()
         self._epoch = _parse_epoch(response.getheader(_EPOCH_HEADER))
         if len(data) > _MAX_RESPONSE_BYTES:
-            self.close()
             return Error(RowsError(RowsFailure.UNKNOWN, "response too large"))
         if response.status != 200:
             failure = _FAILURE_BY_STATUS.get(response.status, RowsFailure.REJECTED)
@@ -161,7 +168,6 @@
         try:
             document = orjson.loads(data)
         except orjson.JSONDecodeError as error:
-            self.close()
             return Error(RowsError(RowsFailure.UNKNOWN, repr(error)))
         if not isinstance(document, dict):
             detail = f"no object: {type(document).__name__}"
@@ -177,15 +183,18 @@
         return Ok(RowsPage(changes, version))
 
     def _connect(self, timeout: float) -> HTTPConnection:
-        # A response with `Connection: close` leaves a connection without a socket.
-        if self._connection is None or self._connection.sock is None:
-            connection = HTTPConnection(*self._address, timeout=self._timeout)
-            connection.connect()
-            enable_keepalive(connection.sock)
-            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self._lock:
+            self._interrupted = False
+        connection = HTTPConnection(*self._address, timeout=self._timeout)
+        connection.connect()
+        enable_keepalive(connection.sock)
+        connection.sock.settimeout(timeout)
+        with self._lock:
+            if self._interrupted:
+                connection.close()
+                raise InterruptedError("interrupted while it connected")
             self._connection = connection
-        self._connection.sock.settimeout(timeout)
-        return self._connection
+        return connection
 
 
 def _parse_epoch(text: str | None) -> int:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 from datetime import timedelta
 
 import pytest
 
+from cyclamenvane.http_client import HTTPConnection
+from cyclamenvane.mesh.message import RequestReader
+from cyclamenvane.mesh.model import CallerLimits
 from cyclamenvane.mesh.rows import RowsFailure, RowWrite, StoreVersion
 from cyclamenvane.platform.store import RowsClient
 
@@ -177,3 +181,78 @@
     store.status = 503
     assert client.read("t", "").error.failure is RowsFailure.UNAVAILABLE
     assert client.read("t", "").error.failure is RowsFailure.UNAVAILABLE
+
+
+class RepeatingStore:
+    """Refuses the first call, and writes the refusal again before the next response.
+
+    With `at_once`, it does so right after the refusal.
+    """
+
+    _HEAD = b"HTTP/1.1 %s\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n%s"
+
+    def __init__(self, at_once: bool) -> None:
+        self._at_once = at_once
+        self._refusals = 0
+        self.performed = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self._listener.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        refusal = self._HEAD % (b"503 Service Unavailable", 2, b"{}")
+        copy = b""
+        reader = RequestReader(CallerLimits())
+        with sock:
+            while data := sock.recv(65536):
+                reader.feed(data)
+                if not reader.complete_requests:
+                    continue
+                reader.complete_requests.clear()
+                if not self._refusals:
+                    self._refusals += 1
+                    sock.sendall(refusal * (2 if self._at_once else 1))
+                    copy = b"" if self._at_once else refusal
+                    continue
+                self.performed += 1
+                document = b'{"rowVersion":%d}' % self.performed
+                sock.sendall(copy + self._HEAD % (b"200 OK", len(document), document))
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_refusal_that_is_written_again_is_none_of_the_next_call(at_once):
+    """Guards against a write that counts as not done though the store has done it."""
+    repeating = RepeatingStore(at_once)
+    client = RowsClient(repeating.address, TIMEOUT)
+    write = [RowWrite("t", "", "k", b"1")]
+    assert client.write(write).error.failure is RowsFailure.UNAVAILABLE
+    for number in range(1, 4):
+        assert client.write(write).ok == StoreVersion(1, number)
+    repeating.close()
+
+
+def test_interrupt_ends_a_call_that_is_connecting(monkeypatch):
+    """Guards against a watch that goes on for its whole wait."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = RowsClient(listener.getsockname(), timedelta(seconds=20))
+    connect = HTTPConnection.connect
+
+    def connect_and_interrupt(connection) -> None:
+        connect(connection)
+        client.interrupt()
+
+    monkeypatch.setattr(HTTPConnection, "connect", connect_and_interrupt)
+    watched = client.watch("t", StoreVersion(1, 1), timedelta(seconds=20))
+    assert watched.error.failure is RowsFailure.UNAVAILABLE
+    listener.close()
