Do not reuse a connection of the first daemon after a refusal

A request counted as refused while its target ran it, if the target wrote an earlier refusal again: its responses name no request. Evidence: test_refusal_that_is_written_again_is_none_of_the_next_request got 503 for the second of three requests before. The connection ends with the refusal, so a second copy is nobody's response.

--- a/src/cyclamenvane/node/connection.py
+++ b/src/cyclamenvane/node/connection.py
@@ -37,6 +37,8 @@
 _MAX_IDLE_IDEMPOTENT = timedelta(seconds=10)
 _MAX_IDLE_NON_IDEMPOTENT = timedelta(seconds=1)
 _BODYLESS_STATUS = frozenset({204, 304})
+# A second copy of a refusal would count as the response to the next request.
+_REFUSAL_STATUS = frozenset({421, 429, 503})
 
 
 class _Connection(HTTPConnection):
@@ -151,7 +153,7 @@
             return
         self._done = True
         self._unregister()
-        if status and reusable:
+        if status and reusable and status not in _REFUSAL_STATUS:
             self._pool.release(self._connection)
         else:
             self._connection.close()
