Judge unanswered requests in the soak of failures

Whatever else fails, a node that runs undisturbed answers each request: with a 502 or 503 if need be. The soak of failures did not judge requests without a response, so a session that ends for an error of its own node went unseen. Its callers pipeline now, as those of the soak of planned work do.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -17,7 +17,13 @@
 
 def check_all(seen: Observations) -> list[str]:
     """Return a line for each broken rule."""
-    checks = (check_answers, check_identities, check_removed_keys, check_rates)
+    checks = (
+        check_answers,
+        check_unanswered,
+        check_identities,
+        check_removed_keys,
+        check_rates,
+    )
     return [line for check in checks for line in check(seen)]
 
 
@@ -52,6 +58,22 @@
             yield f"lost unanswered: {call}"
 
 
+def check_unanswered(seen: Observations) -> Iterator[str]:
+    """A request is answered if its node ran undisturbed, whatever else failed.
+
+    One that was not run may cross the end of its connection, or follow another one.
+    """
+    executed = {find_attempt(request) for request, _ in seen.runs}
+    for call in seen.calls:
+        crossed = call.follows or call.done - call.sent <= _LOSS_SLACK_S
+        if call.status or (crossed and call.attempt not in executed):
+            continue
+        since = call.sent - _RECOVERY_S
+        times = [d for d in seen.disturbances if d.process and d.node == call.node]
+        if not any(d.start <= call.done and d.end >= since for d in times):
+            yield f"unanswered at an undisturbed node: {call}"
+
+
 def check_identities(seen: Observations) -> Iterator[str]:
     """Targets get the account of the key and no key; unknown keys are not served."""
     known = {key for change in seen.changes for key in change.keys}
--- a/tests/soak/soak_failures.py
+++ b/tests/soak/soak_failures.py
@@ -11,13 +11,12 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from soak_site import SoakSite
+from soak_site import PROCESS_KINDS, SoakSite
 
 _FAILURE_S = 24.0  # time in which failures begin
 _FIRST_S = 3.0  # calls without failures before it
 _MEAN_GAP_S = 1.0  # between the starts of two series
-_PROCESS_KINDS = ("pause", "kill", "stop", "reload")
-_NODE_KINDS = _PROCESS_KINDS + ("store_link", "target_link", "target_crash")
+_NODE_KINDS = (*PROCESS_KINDS, "reload", "store_link", "target_link", "target_crash")
 _STORE_KINDS = ("store_silence", "store_rejection", "store_restore")
 _COMMON_KINDS = _STORE_KINDS + ("remove_key", "write_configuration")
 _STORE_MODES = ("delay", "reset", "cut_up", "cut_down", "silence")
@@ -26,9 +25,10 @@
 _DURATIONS_S = (0.1, 0.4, 1.2, 3.0, 4.5)
 _END_S = 40.0  # in which a failure ends, with those that it waits for
 # A failure waits for another one at the same place.
-_PLACES = dict.fromkeys(_PROCESS_KINDS, "process") | {"target_crash": "target"}
+_PLACES = dict.fromkeys(PROCESS_KINDS, "process") | {"target_crash": "target"}
+_PLACES |= {"reload": "process"}
 _PLACES |= dict.fromkeys(_STORE_KINDS, "store")
-_DISTURBING = {"pause", "kill", "stop", "store_link", *_STORE_KINDS}
+_DISTURBING = {*PROCESS_KINDS, "store_link", *_STORE_KINDS}
 
 
 @dataclass(frozen=True)
@@ -125,7 +125,7 @@
                 raise
             end = time.monotonic()
             if kind in _DISTURBING:
-                self._site.disturb(failure.node, start, end, kind == "store_restore")
+                self._site.disturb(failure.node, start, end, kind)
             self.log.append(f"{end:.2f} end of {failure}")
 
 
--- a/tests/soak/soak_records.py
+++ b/tests/soak/soak_records.py
@@ -38,12 +38,16 @@
 
 @dataclass(frozen=True)
 class Disturbance:
-    """A time in which a node did not run, or was cut off from the store."""
+    """A time in which a node did not run, or was cut off from the store.
+
+    In the first case, `process` is set.
+    """
 
     node: int
     start: float
     end: float
     restored: bool  # whether the store was an older one in that time
+    process: bool
 
 
 @dataclass
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -19,6 +19,7 @@
 from target_standin import TargetStandIn
 
 NODES = 8
+PROCESS_KINDS = ("pause", "kill", "stop")  # failures in which a daemon does not run
 _HEARTBEAT_S = 0.5
 _START_S = 20.0  # of all daemons on a busy machine
 _RATES = {"steady": 40.0, "greedy": 20.0, "lowered": 30.0, "probe": 0.0}
@@ -139,11 +140,13 @@
             if not node.has_crashed:
                 node.send_heartbeat()
 
-    def disturb(self, node: int, start: float, end: float, restored: bool) -> None:
+    def disturb(self, node: int, start: float, end: float, kind: str) -> None:
         """Note that a node, or all of them for -1, was disturbed."""
         numbers = range(NODES) if node < 0 else (node,)
+        restored, process = kind == "store_restore", kind in PROCESS_KINDS
         self.seen.disturbances.extend(
-            records.Disturbance(number, start, end, restored) for number in numbers
+            records.Disturbance(number, start, end, restored, process)
+            for number in numbers
         )
 
     def lower_rate(self) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 from soak_callers import Connection, start_callers
 from soak_checks import check_all
 from soak_failures import FailureRunner, make_plan
+from soak_pipelines import start_pipelines
 from soak_site import NODES, SoakSite
 
 _RECOVERY_S = 15.0
@@ -29,6 +30,7 @@
     try:
         site.start()
         threads = start_callers(site, stopped, seed)
+        threads += start_pipelines(site, stopped, seed)
         runner.run(make_plan(seed, NODES))
         problems += _check_recovery(site)
         stopped.set()
