Count and log requests that end without a response

Nothing told a request that was lost from one that its caller had left: a session that ended by an error left no trace. A session counts what it has read and not answered. At its end the rest is counted by cause, and logged with the error if the connection failed.

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -82,6 +82,7 @@
         clock: Clock,
         metrics: Metrics,
         on_done: Callable[[Call | None, Request, CallResult, timedelta], None],
+        on_unanswered: Callable[[int, str, str], None],
     ) -> None:
         self.dispatch = dispatch
         self.configuration = configuration
@@ -92,6 +93,7 @@
         self.clock = clock
         self.metrics = metrics
         self.on_done = on_done
+        self.on_unanswered = on_unanswered
         self.draining = False
         self.in_flight = InFlightCounter()
 
@@ -128,6 +130,8 @@
         self._pipeline_signals: _PipelineSignals | None = None
         self._reserved = 0
         self._last_response_bytes = 0  # of the one after which the connection closes
+        self._unanswered = 0  # requests that are being served
+        self._error = ""
 
     def run(self) -> timedelta | None:
         """Serve requests until none arrives in time or the connection closes.
@@ -145,8 +149,9 @@
                 resumed = False
                 if not self._serve_next():
                     return None
-        except OSError:
+        except OSError as error:
             # The caller's connection failed; `close` cancels its calls.
+            self._error = repr(error)
             return None
 
     def _receive_first(self) -> bool:
@@ -166,6 +171,7 @@
             self._finish_sending()
             return False
         with self._caller_server.in_flight:
+            self._unanswered += 1
             self._start_pipelined()
             result = self._caller_server.handle(request, self._watch)
             stays_open = self._write(result, request.keep_alive)
@@ -175,7 +181,13 @@
             return stays_open
 
     def close(self) -> None:
-        """Cancel pipelined calls that are still served; release reserved memory."""
+        """Cancel pipelined calls that are still served; release reserved memory.
+
+        Report the requests that stay without a response.
+        """
+        if self._unanswered:
+            cause = "connection failed" if self._error else "caller gone"
+            self._caller_server.on_unanswered(self._unanswered, cause, self._error)
         if self._pipeline_signals is not None:
             self._pipeline_signals.cancelled.set()
         for pending in self._pending:
@@ -276,6 +288,7 @@
             # it wakes and would wait again otherwise.
             future.add_done_callback(lambda _: done.set())
             self._pending.append(_PendingResult(future, request.keep_alive))
+            self._unanswered += 1
         self._reader.buffered_bytes = 0
 
     def _serve_pipelined(self, request: Request, cancelled: Signal) -> CallResult:
@@ -312,6 +325,7 @@
             head += b"Connection: close\r\n"
         data = head + b"\r\n" + result.body
         self._send(data)
+        self._unanswered -= 1
         if not keep_alive:
             self._last_response_bytes = len(data)
         return keep_alive
--- a/src/cyclamenvane/mesh/metric.py
+++ b/src/cyclamenvane/mesh/metric.py
@@ -52,6 +52,12 @@
             ["status"],
             registry=registry,
         )
+        self._unanswered_requests = Counter(
+            "cyclamenvane_unanswered_requests",
+            "Requests whose connection ended without their response, by cause",
+            ["cause"],
+            registry=registry,
+        )
         self._store_calls = Counter(
             "cyclamenvane_store_contacts",
             "Calls to the platform's store, by kind and outcome",
@@ -116,6 +122,10 @@
         """Count a request that was refused before it was read completely."""
         self._rejected_requests.labels(int(status)).inc()
 
+    def record_unanswered_requests(self, cause: str, requests: int) -> None:
+        """Count requests whose connection ended before their response was sent."""
+        self._unanswered_requests.labels(cause).inc(requests)
+
     def record_store_call(self, kind: str, reached: bool) -> None:
         """Count a call to the store by its kind and outcome."""
         self._store_calls.labels(kind, "answered" if reached else "failed").inc()
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -279,6 +279,7 @@
             self._clock,
             self.metrics,
             self._call_reporter.report_call,
+            self._call_reporter.report_unanswered,
         )
 
     def _make_acceptors(self) -> tuple[Acceptor, ...]:
--- a/src/cyclamenvane/mesh/report.py
+++ b/src/cyclamenvane/mesh/report.py
@@ -1,4 +1,7 @@
-"""Counts and logs the outcomes of calls that entered the mesh at this node."""
+"""Counts and logs the outcomes of calls that entered the mesh at this node.
+
+Requests whose connection ends without their responses are counted apart.
+"""
 
 from __future__ import annotations
 
@@ -50,6 +53,15 @@
         if self._should_log(attempt, result):
             self._log_call(attempt, call, result, duration)
 
+    def report_unanswered(self, requests: int, cause: str, error: str) -> None:
+        """Count requests whose connection ended without their responses.
+
+        Those that no caller waits for are in the lines of their calls.
+        """
+        self._metrics.record_unanswered_requests(cause, requests)
+        if error and self._log.should_log(None, failed=True):
+            self._log.write("caller:unanswered", None, requests=requests, error=error)
+
     def _should_log(self, attempt: bytes | None, result: CallResult) -> bool:
         if result.reason is Reason.UNIDENTIFIED:
             return self._log.should_log_unidentified()
