--- a/tests/soak/soak_pipelines.py
+++ b/tests/soak/soak_pipelines.py
@@ -51,7 +51,8 @@
     try:
         for attempt in attempts:
             path = f"/items/{attempt}"
-            sock.sendall(make_request(path, attempt=attempt, **headers))
+            request = make_request(path, attempt=attempt, deadline_ms=2000, **headers)
+            sock.sendall(request)
     except OSError:
         open_ = False
     for attempt in attempts:
