Answer a call that fails by an error of the node

Requests were lost (LOST) while their node ran and their caller waited: a session took each OSError for one of its caller's connection and closed it, so a call that could not be queued for want of a descriptor ended without an answer, with all others on the connection. On another node's stream the same error left the outcome unknown although nothing had been sent. Errors of a call are its outcome now, so only an error of the connection ends it. A call that cannot be queued is refused as not run, pipelined requests without descriptors are served in turn, and reading ahead raises nothing (by reading, an error there would have lost a slot of the target).

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -26,6 +26,7 @@
     send_to_caller,
     set_receive_timeout,
 )
+from .forward import Reason
 from .heads import HeaderNames, find_remaining_time
 from .in_flight import InFlightCounter
 from .message import Request, RequestReader
@@ -83,6 +84,7 @@
         metrics: Metrics,
         on_done: Callable[[Call | None, Request, CallResult, timedelta], None],
         on_unanswered: Callable[[int, str, str], None],
+        on_no_descriptor: Callable[[OSError], None],
     ) -> None:
         self.dispatch = dispatch
         self.configuration = configuration
@@ -94,6 +96,7 @@
         self.metrics = metrics
         self.on_done = on_done
         self.on_unanswered = on_unanswered
+        self.on_no_descriptor = on_no_descriptor
         self.draining = False
         self.in_flight = InFlightCounter()
 
@@ -106,7 +109,11 @@
         arrived = self.clock.monotonic()
         call = self.make_call(request, arrived)
         if isinstance(call, Call):
-            result = self.dispatch(call, watch)
+            try:
+                result = self.dispatch(call, watch)
+            except OSError as error:
+                # Such as a want of descriptors. The caller's connection is sound.
+                result = _make_failed_result(error)
             self.on_done(call, request, result, arrived)
         else:
             result = call
@@ -268,16 +275,18 @@
             return False
         self._reader.feed(data)
         self._start_pipelined()
-        if self._reader.error or len(self._pending) >= _MAX_PIPELINED:
+        reader = self._reader
+        waiting = reader.complete_requests or len(self._pending) >= _MAX_PIPELINED
+        if waiting or reader.error:
             self._watch.pause_reading()
         return True
 
     def _start_pipelined(self) -> None:
         if not self._reader.complete_requests:
             return
-        signals = self._pipeline_signals
+        signals = self._pipeline_signals or self._open_signals()
         if signals is None:
-            signals = self._pipeline_signals = _PipelineSignals(Signal(), Signal())
+            return
         done = signals.done
         while self._reader.complete_requests:
             request = self._reader.complete_requests.popleft()
@@ -291,6 +300,14 @@
             self._unanswered += 1
         self._reader.buffered_bytes = 0
 
+    def _open_signals(self) -> _PipelineSignals | None:
+        """Return the signals; without descriptors, requests are served in turn."""
+        try:
+            self._pipeline_signals = _PipelineSignals(Signal(), Signal())
+        except OSError as error:
+            self._caller_server.on_no_descriptor(error)
+        return self._pipeline_signals
+
     def _serve_pipelined(self, request: Request, cancelled: Signal) -> CallResult:
         watch = Watch(self._clock, cancelled.descriptor, lambda: False)
         return self._caller_server.handle(request, watch)
@@ -351,6 +368,12 @@
         send_to_caller(self.sock, data, self._watch, until)
 
 
+def _make_failed_result(error: OSError) -> CallResult:
+    # It is not known whether the call was run before the error.
+    status, detail = HTTPStatus.BAD_GATEWAY, repr(error)
+    return CallResult(status, reason=Reason.BROKEN, detail=detail)
+
+
 def _render_error_head(result: CallResult) -> bytes:
     status = HTTPStatus(result.status)
     head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -280,6 +280,7 @@
             self.metrics,
             self._call_reporter.report_call,
             self._call_reporter.report_unanswered,
+            self._call_reporter.report_no_descriptor,
         )
 
     def _make_acceptors(self) -> tuple[Acceptor, ...]:
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -13,7 +13,7 @@
 
 from .connection import set_receive_timeout
 from .errors import FrameError
-from .forward import ForwardRequest, FrameKind
+from .forward import ForwardRequest, ForwardResult, FrameKind, Reason, Verdict
 from .frames import FrameStream
 from .in_flight import InFlightCounter
 from .watch import WaitResult, Watch, watch_socket
@@ -74,7 +74,7 @@
             if request.version > self._get_version():
                 address = self._find_address(sock)
                 self._peer_sync.add_newer_version(request.version, address)
-            result = self._target_proxy.execute(request, watch)
+            result = self._execute(request, watch)
             return result.pack(request.extended, request.number)
         if kind == FrameKind.TOKENS:
             return self._answer_tokens(frame, watch)
@@ -95,6 +95,13 @@
             return self._peer_sync.make_hello()
         raise FrameError(f"unknown frame kind: {kind!r}")
 
+    def _execute(self, request: ForwardRequest, watch: Watch) -> ForwardResult:
+        try:
+            return self._target_proxy.execute(request, watch)
+        except OSError as error:
+            # Such as a want of descriptors. The connection to the other node is sound.
+            return ForwardResult(Verdict.UNKNOWN, Reason.BROKEN, detail=repr(error))
+
 
 class PeerSession:
     """One connection from another node."""
--- a/src/cyclamenvane/mesh/report.py
+++ b/src/cyclamenvane/mesh/report.py
@@ -62,6 +62,11 @@
         if error and self._log.should_log(None, failed=True):
             self._log.write("caller:unanswered", None, requests=requests, error=error)
 
+    def report_no_descriptor(self, error: OSError) -> None:
+        """Log that requests of a connection are served in turn."""
+        if self._log.should_log(None, failed=True):
+            self._log.write("caller:no_descriptor", None, error=repr(error))
+
     def _should_log(self, attempt: bytes | None, result: CallResult) -> bool:
         if result.reason is Reason.UNIDENTIFIED:
             return self._log.should_log_unidentified()
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -203,7 +203,11 @@
         if self._registration.serving_incarnation() is None:
             return make_not_run(self._registration.refusal_reason())
         admission_deadline = min(deadline - _MIN_REMAINING, now + request.max_wait)
-        admission = self._gate.acquire(request.rank, admission_deadline, watch)
+        try:
+            admission = self._gate.acquire(request.rank, admission_deadline, watch)
+        except OSError as error:
+            # Queuing takes a descriptor.
+            return replace(make_not_run(Reason.NO_ROOM), detail=repr(error))
         self._metrics.record_queue_time(admission.waited)
         if not admission.admitted:
             if admission.caller_gone:
--- a/src/cyclamenvane/mesh/watch.py
+++ b/src/cyclamenvane/mesh/watch.py
@@ -38,6 +38,7 @@
     """Event between tasks that can be polled together with a socket (eventfd)."""
 
     def __init__(self) -> None:
+        self.descriptor = _NO_DESCRIPTOR
         self.descriptor = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
 
     def set(self) -> None:
@@ -53,7 +54,8 @@
 
     def __del__(self) -> None:
         # Tasks share a signal, so the descriptor is closed with the last reference.
-        os.close(self.descriptor)
+        if self.descriptor != _NO_DESCRIPTOR:
+            os.close(self.descriptor)
 
 
 class Watch:
