Serve a pipelined request in its session if no task is free

Callers that pipeline got their first response and nothing more, and their node took no further connections: with all tasks in sessions that wait for pipelined requests, these wait for a task, and nothing ends the wait. Evidence: 24 callers that pipeline two requests to a node with four tasks to spare timed out in test_pipelined_requests_are_answered_when_no_task_is_free; all are answered now. A session takes back a request that no task has begun, and serves it itself, so it waits only for requests that run, which their deadlines end.

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -57,8 +57,8 @@
 class _PendingResult:
     """Result of a pipelined request that another task serves."""
 
+    request: Request
     future: Future[CallResult]
-    keep_alive: bool
 
 
 @dataclass(frozen=True)
@@ -296,7 +296,7 @@
             # Set only once the future is done: `_write_pending` checks `done()` after
             # it wakes and would wait again otherwise.
             future.add_done_callback(lambda _: done.set())
-            self._pending.append(_PendingResult(future, request.keep_alive))
+            self._pending.append(_PendingResult(request, future))
             self._unanswered += 1
         self._reader.buffered_bytes = 0
 
@@ -317,6 +317,13 @@
         signals = self._pipeline_signals
         while signals is not None and self._pending:
             pending = self._pending[0]
+            if pending.future.cancel():
+                # No task was free for it, and all of them may wait for such requests.
+                result = self._caller_server.handle(pending.request, self._watch)
+                self._pending.popleft()
+                if not self._write(result, pending.request.keep_alive):
+                    return False
+                continue
             while not pending.future.done():
                 until = self._clock.monotonic() + timedelta(seconds=60)
                 wait_result = self._watch.wait(signals.done.descriptor, until)
@@ -324,7 +331,7 @@
                     return False
                 signals.done.clear()
             self._pending.popleft()
-            if not self._write(pending.future.result(), pending.keep_alive):
+            if not self._write(pending.future.result(), pending.request.keep_alive):
                 return False
         self._watch.resume_reading()
         return True
--- a/tests/mesh/test_unanswered.py
+++ b/tests/mesh/test_unanswered.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from concurrent.futures import ThreadPoolExecutor
 
 from mesh_harness import make_request, wait_until
 
@@ -48,3 +49,23 @@
     entry.call()
     assert not count_unanswered(entry, "caller gone")
     assert not count_unanswered(entry, "connection failed")
+
+
+def test_pipelined_requests_are_answered_when_no_task_is_free(pair):
+    """Guards against sessions that wait for ever for requests without a task."""
+    entry, remote = pair
+    remote.target.delay = 0.2
+    executor = entry.node.executor
+    executor._max_threads = executor.count() + 4
+
+    def call_twice(number: int) -> int:
+        with entry.connect() as sock:
+            for part in "ab":
+                sock.sendall(make_request(attempt=f"{part}{number}"))
+            received = b""
+            while received.count(b"whole") < 2 and (data := sock.recv(65536)):
+                received += data
+            return received.count(b"whole")
+
+    with ThreadPoolExecutor(24) as callers:
+        assert list(callers.map(call_twice, range(24))) == [2] * 24
