Count large request bodies until their calls have ended

Bodies were counted only while they were read, those behind another request not at all. Whole ones had up to three more copies: packed into a frame, kept by the reader of a stream for as long as it was open, and joined with their head. The tests of test_upload_memory.py cover the sums at the first node and at the target's. A body reserves its declared length when its head is read, or grows, and releases it with the end of its call; without room it is refused as not run. Large bodies are sent from where they are, and a stream drops its buffer after a large frame. A node that cannot take a frame says so before it is whole: a request that was not sent whole cannot have run, so it may go to another target.

--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -29,7 +29,7 @@
 from .forward import Reason
 from .heads import HeaderNames, find_remaining_time
 from .in_flight import InFlightCounter
-from .message import Request, RequestReader
+from .message import Request, RequestError, RequestReader
 from .model import CallerLimits
 from .watch import Signal, WaitResult, Watch
 
@@ -107,18 +107,24 @@
     def handle(self, request: Request, watch: Watch) -> CallResult:
         """Dispatch one request; return its result."""
         arrived = self.clock.monotonic()
-        call = self.make_call(request, arrived)
-        if isinstance(call, Call):
-            try:
-                result = self.dispatch(call, watch)
-            except OSError as error:
-                # Such as a want of descriptors. The caller's connection is sound.
-                result = _make_failed_result(error)
-            self.on_done(call, request, result, arrived)
-        else:
-            result = call
-            self.on_done(None, request, result, arrived)
-        return result
+        try:
+            call = self.make_call(request, arrived)
+            if isinstance(call, Call):
+                result = self._dispatch(call, watch)
+                self.on_done(call, request, result, arrived)
+            else:
+                result = call
+                self.on_done(None, request, result, arrived)
+            return result
+        finally:
+            request.release()
+
+    def _dispatch(self, call: Call, watch: Watch) -> CallResult:
+        try:
+            return self.dispatch(call, watch)
+        except OSError as error:
+            # Such as a want of descriptors. The caller's connection is sound.
+            return _make_failed_result(error)
 
 
 class CallerSession:
@@ -131,11 +137,10 @@
         set_receive_timeout(sock, _NEXT_REQUEST_TIMEOUT)
         current = caller_server.configuration.current()
         limits = current.limits if current else CallerLimits()
-        self._reader = RequestReader(limits)
+        self._reader = RequestReader(limits, caller_server.memory)
         self._watch = Watch(self._clock, sock.fileno(), self._read_ahead)
         self._pending: deque[_PendingResult] = deque()
         self._pipeline_signals: _PipelineSignals | None = None
-        self._reserved = 0
         self._last_response_bytes = 0  # of the one after which the connection closes
         self._unanswered = 0  # requests that are being served
         self._error = ""
@@ -198,20 +203,21 @@
         if self._pipeline_signals is not None:
             self._pipeline_signals.cancelled.set()
         for pending in self._pending:
-            pending.future.cancel()
-        self._caller_server.memory.release(self._reserved)
+            if pending.future.cancel():
+                pending.request.release()
         self._reader.release()
 
     def _next_request(self) -> Request | None:
         reader = self._reader
         if reader.complete_requests:
             # Whole at its first read, as most requests are.
-            self._release_memory()
             return reader.complete_requests.popleft()
         started = self._clock.monotonic()
         while not reader.complete_requests:
             if reader.error is not None:
-                self._reject(reader.error.value)
+                no_memory = reader.error is RequestError.NO_MEMORY
+                retry_after = _NO_MEMORY_RETRY if no_memory else None
+                self._reject(reader.error.value, retry_after)
                 return None
             if reader.expects_continue and reader.in_body:
                 reader.expects_continue = False
@@ -226,10 +232,6 @@
             if not data:
                 return None
             reader.feed(data)
-            if not self._reserve_memory():
-                self._reject(HTTPStatus.SERVICE_UNAVAILABLE, _NO_MEMORY_RETRY)
-                return None
-        self._release_memory()
         return reader.complete_requests.popleft()
 
     def _read_deadline(self, started: timedelta) -> tuple[timedelta, HTTPStatus | None]:
@@ -245,20 +247,6 @@
             return started + remaining, HTTPStatus.REQUEST_TIMEOUT
         return started + limits.idle_timeout, None
 
-    def _reserve_memory(self) -> bool:
-        growth = self._reader.buffered_bytes - self._reserved
-        if growth > 0:
-            if not self._caller_server.memory.reserve(growth):
-                return False
-            self._reserved += growth
-        return True
-
-    def _release_memory(self) -> None:
-        # The body now belongs to the call, whose deadline limits how long it is held.
-        if self._reserved:
-            self._caller_server.memory.release(self._reserved)
-        self._reserved = self._reader.buffered_bytes = 0
-
     def _read_ahead(self) -> bool:
         """Read pipelined requests during a call; return False on a disconnect."""
         if self._caller_server.draining:
@@ -298,7 +286,6 @@
             future.add_done_callback(lambda _: done.set())
             self._pending.append(_PendingResult(request, future))
             self._unanswered += 1
-        self._reader.buffered_bytes = 0
 
     def _open_signals(self) -> _PipelineSignals | None:
         """Return the signals; without descriptors, requests are served in turn."""
--- a/src/cyclamenvane/mesh/errors.py
+++ b/src/cyclamenvane/mesh/errors.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["FrameError"]
+__all__ = ["FrameError", "NoMemoryError"]
 
 
 class FrameError(OSError):
     """Invalid or unexpected frame on a stream, or a stream closed by the peer."""
+
+
+class NoMemoryError(FrameError):
+    """A frame that is being received is too large for the memory that is left."""
--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -8,37 +8,62 @@
 from __future__ import annotations
 
 import socket
+import struct
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 
 from .connection import DONT_WAIT, INITIAL_RECEIVE_BYTES, RECEIVE_BYTES, send_all
-from .errors import FrameError
+from .errors import FrameError, NoMemoryError
+from .memory import LARGE_BYTES
 from .watch import WaitResult, Watch
 
+if TYPE_CHECKING:
+    from .memory import Reservation
+
 __all__ = ["FrameStream"]
 
 _MAX_FRAME_BYTES = 128 * 1024 * 1024
+_LONG_BYTES = struct.Struct(">BI")  # the head of bytes that a large one has
+_LONG_BYTES_TAG = 0xC6
 
 
 class FrameStream:
-    """Frames sent and received on one connection."""
+    """Frames sent and received on one connection.
+
+    With a reservation, frames that are being received take their memory from it.
+    """
 
     def __init__(
-        self, sock: socket.socket, max_frame_bytes: int = _MAX_FRAME_BYTES
+        self,
+        sock: socket.socket,
+        max_frame_bytes: int = _MAX_FRAME_BYTES,
+        reservation: Reservation | None = None,
     ) -> None:
         self.sock = sock
-        self._unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self._max_frame_bytes = max_frame_bytes
+        self._reservation = reservation
+        self._reset()
+
+    def _reset(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=self._max_frame_bytes)
         self._fed_bytes = 0
+        self._frame_bytes = 0  # of the last frame
 
-    def send(self, frame: list[Any], watch: Watch, until: timedelta) -> WaitResult:
-        """Send a frame; raise OSError if the connection fails."""
-        data = msgpack.packb(frame)
-        wait_result, sent = send_all(self.sock, data, watch, until)
-        if wait_result is WaitResult.READY and sent < len(data):
-            raise FrameError("frame received while another was being sent")
-        return wait_result
+    def send(
+        self, frame: list[Any], watch: Watch, until: timedelta
+    ) -> tuple[WaitResult, bool]:
+        """Send a frame; return how that ended, and whether all of it was sent.
+
+        Sending ends early if the peer responds before it has read the frame. Raise
+        OSError if the connection fails; the peer has not got the whole frame then.
+        """
+        for piece in _encode(frame):
+            wait_result, sent = send_all(self.sock, piece, watch, until)
+            if wait_result is not WaitResult.READY or sent < len(piece):
+                return wait_result, False
+        return WaitResult.READY, True
 
     def receive(self, watch: Watch, until: timedelta) -> tuple[WaitResult, list[Any]]:
         """Wait for a frame; raise OSError if the connection fails."""
@@ -70,6 +95,13 @@
         """Return whether nothing was received after the last frame."""
         return self._unpacker.tell() == self._fed_bytes
 
+    def free(self) -> None:
+        """Release the memory of the frames received, once they are not used."""
+        if self._frame_bytes >= LARGE_BYTES and self.is_drained():
+            self._reset()  # the unpacker keeps a buffer of the size of a frame
+        if self._reservation is not None:
+            self._reservation.close()
+
     def close(self) -> None:
         """Close the connection."""
         self.sock.close()
@@ -83,14 +115,42 @@
         try:
             self._unpacker.feed(data)
             self._fed_bytes += len(data)
+            self._reserve()
         except msgpack.BufferFull as error:
             raise FrameError("frame too large") from error
 
+    def _reserve(self) -> None:
+        if self._reservation is not None:
+            if not self._reservation.cover(self._fed_bytes - self._unpacker.tell()):
+                raise NoMemoryError("no memory for a frame")
+
     def _next_frame(self) -> list[Any] | None:
+        start = self._unpacker.tell()
         try:
             frame = next(self._unpacker, None)
         except (msgpack.UnpackException, ValueError) as error:
             raise FrameError(f"invalid frame: {error}") from error
         if frame is not None and not (isinstance(frame, list) and frame):
             raise FrameError(f"invalid frame: {type(frame).__name__}")
+        if frame is not None:
+            self._frame_bytes = self._unpacker.tell() - start
         return frame
+
+
+def _encode(frame: list[Any]) -> list[bytes]:
+    """Return the encoded frame in pieces, without copies of large bytes."""
+    large = [
+        number
+        for number, item in enumerate(frame)
+        if type(item) is bytes and len(item) >= LARGE_BYTES
+    ]
+    if not large:
+        return [msgpack.packb(frame)]
+    pieces = [msgpack.Packer().pack_array_header(len(frame))]
+    for number, item in enumerate(frame):
+        if number in large:
+            pieces[-1] += _LONG_BYTES.pack(_LONG_BYTES_TAG, len(item))
+            pieces += [item, b""]
+        else:
+            pieces[-1] += msgpack.packb(item)
+    return pieces
--- a/src/cyclamenvane/mesh/memory.py
+++ b/src/cyclamenvane/mesh/memory.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
-__all__ = ["BodyMemory", "ResponseMemory", "ResponseReservation"]
+__all__ = ["LARGE_BYTES", "BodyMemory", "Reservation", "ResponseMemory"]
 
-_RESERVATION_STEP_BYTES = 64 * 1024
+LARGE_BYTES = 64 * 1024  # of a body; smaller ones reserve nothing
 
 
 class BodyMemory:
-    """Shared limit in bytes for request bodies that are not yet complete."""
+    """Shared limit in bytes for request bodies, until their calls have ended."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._reserved = 0
         self._lock = threading.Lock()
 
+    def open(self) -> Reservation:
+        """Return a reservation for one body."""
+        return Reservation(lambda held, size: self.reserve(size), self.release)
+
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes; return False if that would exceed the limit."""
         with self._lock:
@@ -46,9 +51,9 @@
         self._holders = 0
         self._lock = threading.Lock()
 
-    def open(self) -> ResponseReservation:
+    def open(self) -> Reservation:
         """Return a reservation for one response."""
-        return ResponseReservation(self)
+        return Reservation(self.reserve, self.release)
 
     def reserved(self) -> int:
         """Return how many bytes are reserved."""
@@ -72,22 +77,26 @@
             self._reserved -= held
 
 
-class ResponseReservation:
-    """What one response has reserved of the shared limit.
+class Reservation:
+    """What one body has reserved of a shared limit.
 
-    Small responses reserve nothing, which saves taking the lock.
+    Small ones reserve nothing, which saves taking the lock. `reserve` takes what is
+    held so far and what to add to it.
     """
 
-    def __init__(self, memory: ResponseMemory) -> None:
-        self._memory = memory
+    def __init__(
+        self, reserve: Callable[[int, int], bool], release: Callable[[int], None]
+    ) -> None:
+        self._reserve = reserve
+        self._release = release
         self._held = 0
 
     def cover(self, size: int) -> bool:
-        """Reserve memory for a response of `size` bytes; return False without it."""
+        """Reserve memory for a body of `size` bytes; return False without it."""
         missing = size - self._held
-        if missing < _RESERVATION_STEP_BYTES:
+        if missing < LARGE_BYTES:
             return True
-        if not self._memory.reserve(self._held, missing):
+        if not self._reserve(self._held, missing):
             return False
         self._held = size
         return True
@@ -95,5 +104,5 @@
     def close(self) -> None:
         """Release all of it."""
         if self._held:
-            self._memory.release(self._held)
+            self._release(self._held)
             self._held = 0
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -17,6 +17,7 @@
 
 from .body_buffer import BodyBuffer
 from .heads import Headers, find_header
+from .memory import LARGE_BYTES, BodyMemory, Reservation
 from .model import CallerLimits
 
 __all__ = ["Request", "RequestError", "RequestReader", "ResponseReader"]
@@ -32,17 +33,22 @@
     MALFORMED = HTTPStatus.BAD_REQUEST
     HEAD_TOO_LARGE = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     BODY_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    NO_MEMORY = HTTPStatus.SERVICE_UNAVAILABLE
 
 
 @dataclass(init=False)
 class Request:
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    It holds memory for a large body until it is released.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     keep_alive: bool
+    reservation: Reservation | None
 
     def __init__(
         self,
@@ -51,12 +57,20 @@
         headers: Headers,
         body: bytes,
         keep_alive: bool,
+        reservation: Reservation | None = None,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.keep_alive = keep_alive
+        self.reservation = reservation
+
+    def release(self) -> None:
+        """Drop the body and release its memory, once the call has ended."""
+        if self.reservation is not None:
+            self.body = b""
+            self.reservation.close()
 
     @property
     def path(self) -> bytes:
@@ -65,16 +79,20 @@
 
 
 class RequestReader:
-    """Parses the requests of one connection."""
+    """Parses the requests of one connection.
+
+    The bodies take their memory from `memory`, if it is given.
+    """
 
-    def __init__(self, limits: CallerLimits) -> None:
+    def __init__(self, limits: CallerLimits, memory: BodyMemory | None = None) -> None:
         self.limits = limits
+        self._memory = memory
+        self._reservation: Reservation | None = None
         self.complete_requests: deque[Request] = deque()
         self.error: RequestError | None = None
         self.in_head = False
         self.in_body = False
         self.expects_continue = False
-        self.buffered_bytes = 0
         self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -133,15 +151,17 @@
         self.in_head = False
         self.in_body = True
         length = find_header(self._headers, b"content-length")
-        if length is not None and int(length) > self.limits.body_bytes:
-            self._fail(RequestError.BODY_TOO_LARGE)
+        if length is not None:
+            if int(length) > self.limits.body_bytes:
+                self._fail(RequestError.BODY_TOO_LARGE)
+            self._reserve(int(length))
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a piece of the body."""
         self._body_bytes += len(data)
-        self.buffered_bytes += len(data)
         if self._body_bytes > self.limits.body_bytes:
             self._fail(RequestError.BODY_TOO_LARGE)
+        self._reserve(self._body_bytes)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -155,8 +175,10 @@
             tuple(self._headers),
             self._body.join(),
             parser.should_keep_alive(),
+            self._reservation,
         )
         self._body = BodyBuffer()
+        self._reservation = None
         self.complete_requests.append(request)
 
     def is_busy(self) -> bool:
@@ -164,13 +186,28 @@
         return bool(self.complete_requests) or self.in_head or self.in_body
 
     def release(self) -> None:
-        """Drop the parser to break its reference cycle with this reader."""
+        """Release the memory of requests that are not served.
+
+        Drop the parser to break its reference cycle with this reader.
+        """
         self._parser = None
+        if self._reservation is not None:
+            self._reservation.close()
+        for request in self.complete_requests:
+            request.release()
 
     def partial_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers read so far of the current request."""
         return self._headers
 
+    def _reserve(self, size: int) -> None:
+        if self._memory is None or size < LARGE_BYTES:
+            return
+        if self._reservation is None:
+            self._reservation = self._memory.open()
+        if not self._reservation.cover(size):
+            self._fail(RequestError.NO_MEMORY)
+
     def _fail(self, error: RequestError) -> None:
         self.error = error
         raise ValueError(error)
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -49,7 +49,7 @@
 
 __all__ = ["MeshNode"]
 
-_BODY_MEMORY_SHARE = 0.25  # of the process memory, for request bodies being read
+_BODY_MEMORY_SHARE = 0.25  # of the process memory, for large request bodies
 _RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
 _RESPONSES_MEMORY_SHARE = 0.2  # for all responses that the target is sending
 _MAX_THREADS = 512  # about 100 KB each; further calls wait for a free one
@@ -108,6 +108,7 @@
             ResponseMemory(int(settings.memory_bytes * _RESPONSES_MEMORY_SHARE)),
             clock,
         )
+        self._body_memory = BodyMemory(int(settings.memory_bytes * _BODY_MEMORY_SHARE))
         self.target_proxy = TargetProxy(
             self.registration,
             self.gate,
@@ -275,7 +276,7 @@
                 self.confirmation.is_recent,
             ).make_call,
             self.executor,
-            BodyMemory(int(self.settings.memory_bytes * _BODY_MEMORY_SHARE)),
+            self._body_memory,
             self._clock,
             self.metrics,
             self._call_reporter.report_call,
@@ -294,6 +295,7 @@
             self._get_peer_address,
             self.configuration.version,
             self.account_rates.answer,
+            self._body_memory,
         )
         return (
             Acceptor(
--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -58,9 +58,9 @@
             stream = self._acquire(address, check=not request.idempotent)
         except OSError as error:
             return ForwardResult(Verdict.NOT_RUN, Reason.UNREACHABLE, detail=str(error))
+        number, sent = next(self._numbers), False
         try:
-            number = next(self._numbers)
-            wait_result = stream.send(request.pack(number), watch, until)
+            wait_result, sent = stream.send(request.pack(number), watch, until)
             if wait_result is WaitResult.READY:
                 wait_result, frame = stream.receive(watch, until)
             if wait_result is WaitResult.READY:
@@ -68,14 +68,18 @@
                 # Nodes of an earlier release send no number.
                 if result.number not in (0, number):
                     raise FrameError(f"result {result.number} of request {number}")
+                if not sent:
+                    if result.verdict is not Verdict.NOT_RUN:
+                        raise FrameError("result of a request that was not sent")
+                    stream.close()
+                    return result
                 self._store_idle(address, stream)
                 return result
         except (OSError, ValueError, TypeError, OverflowError) as error:
             stream.close()
-            # The request may have been read before the connection failed.
-            return ForwardResult(
-                Verdict.UNKNOWN, Reason.UNREACHABLE, detail=repr(error)
-            )
+            # A request is run only once all of it has been read.
+            verdict = Verdict.UNKNOWN if sent else Verdict.NOT_RUN
+            return ForwardResult(verdict, Reason.UNREACHABLE, detail=repr(error))
         stream.close()
         caller_gone = wait_result is WaitResult.CALLER_GONE
         reason = Reason.CALLER_GONE if caller_gone else Reason.TIMED_OUT
@@ -91,7 +95,7 @@
         except OSError:
             return None
         try:
-            if stream.send(frame, watch, until) is not WaitResult.READY:
+            if not stream.send(frame, watch, until)[1]:
                 return None
             wait_result, response = stream.receive(watch, until)
             return response if wait_result is WaitResult.READY else None
@@ -110,7 +114,7 @@
         except OSError:
             return None
         try:
-            if stream.send(frame, watch, until) is WaitResult.READY:
+            if stream.send(frame, watch, until)[1]:
                 wait_result, response = stream.receive(watch, until)
                 if wait_result is WaitResult.READY:
                     self._store_idle(address, stream)
@@ -153,6 +157,7 @@
         if not stream.is_drained():
             stream.close()
             return
+        stream.free()
         now = self._clock.monotonic()
         excess = []
         with self._lock:
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -11,15 +11,16 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from .connection import set_receive_timeout
-from .errors import FrameError
+from .connection import discard_until_end, set_receive_timeout
+from .errors import FrameError, NoMemoryError
 from .forward import ForwardRequest, ForwardResult, FrameKind, Reason, Verdict
 from .frames import FrameStream
 from .in_flight import InFlightCounter
-from .watch import WaitResult, Watch, watch_socket
+from .watch import Watch, watch_socket
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from .memory import BodyMemory
     from .model import Address
     from .peer_sync import PeerSync
     from .relay import Relay
@@ -32,6 +33,7 @@
 # Under load the next request arrives in this time; without one, the connection is
 # parked so that it does not occupy a task for longer.
 _RECEIVE_TIMEOUT = timedelta(milliseconds=250)
+_NO_MEMORY_RETRY = timedelta(seconds=1)
 _MAX_IDLE = timedelta(seconds=60)  # the other node closes idle connections much sooner
 
 
@@ -47,7 +49,10 @@
         find_address: Callable[[socket.socket], Address],
         get_version: Callable[[], int],
         answer_tokens: Callable[[list[Any], Watch], list[Any]],
+        memory: BodyMemory,
     ) -> None:
+        self.memory = memory
+        self.load = target_proxy.load
         self._answer_tokens = answer_tokens
         self._target_proxy = target_proxy
         self._clock = clock
@@ -113,7 +118,8 @@
         set_receive_timeout(sock, _RECEIVE_TIMEOUT)
         self._peer_server = peer_server
         self._clock = clock
-        self._stream = FrameStream(sock)
+        reservation = peer_server.memory.open()
+        self._stream = FrameStream(sock, reservation=reservation)
         self._watch = watch_socket(clock, sock)
 
     def run(self) -> timedelta | None:
@@ -132,6 +138,10 @@
                 with self._peer_server.in_flight:
                     if not self._respond(frame):
                         return None
+                self._stream.free()
+        except NoMemoryError:
+            self._refuse_frame()
+            return None
         except OSError:
             # The other node closed the connection, which cancels its request.
             return None
@@ -141,7 +151,25 @@
         deadline = self._clock.monotonic() + _SEND_TIMEOUT
         if self._watch.caller_gone:
             return False
-        return self._stream.send(response, self._watch, deadline) is WaitResult.READY
+        return self._stream.send(response, self._watch, deadline)[1]
+
+    def _refuse_frame(self) -> None:
+        """Refuse a request that is too large to be received."""
+        result = ForwardResult(
+            Verdict.NOT_RUN,
+            Reason.NO_ROOM,
+            retry_after=_NO_MEMORY_RETRY,
+            detail="no memory for the request",
+            load=self._peer_server.load(),
+        )
+        now = self._clock.monotonic()
+        try:
+            self._stream.send(result.pack(True), self._watch, now + _SEND_TIMEOUT)
+        except OSError:
+            # The other node has closed the connection.
+            return
+        discard_until_end(self.sock, self._clock, now + _SEND_TIMEOUT)
 
     def close(self) -> None:
-        """Do nothing: the session holds no resources besides the connection."""
+        """Release the memory of a frame that was not received whole."""
+        self._stream.free()
--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -183,7 +183,7 @@
             if self._stream is None:
                 self._stream = _open_stream(watcher.address)
             frame = _pack_request(self._replica.versions(), _WAIT)
-            if self._stream.send(frame, watch, until) is not WaitResult.READY:
+            if not self._stream.send(frame, watch, until)[1]:
                 return None
             wait_result, response = self._stream.receive(watch, until)
             if wait_result is not WaitResult.READY:
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -20,7 +20,7 @@
 
 from .connection import DONT_WAIT, RECEIVE_BYTES, is_idle, open_connection, send_rest
 from .heads import HeaderNames, Headers, find_header, is_rejection
-from .memory import ResponseMemory, ResponseReservation
+from .memory import LARGE_BYTES, Reservation, ResponseMemory
 from .message import ResponseReader
 from .watch import WaitResult, Watch
 
@@ -154,7 +154,7 @@
         keep = False
         try:
             result, sent_whole = self._transfer(
-                sock, head + body, reader, reservation, watch, until
+                sock, _split(head, body), reader, reservation, watch, until
             )
             if result.outcome is ExchangeOutcome.ANSWERED:
                 keep = sent_whole and reader.keep_alive and attempt is not None
@@ -201,9 +201,9 @@
     def _transfer(
         self,
         sock: socket.socket,
-        data: bytes,
+        pieces: tuple[bytes, ...],
         reader: ResponseReader,
-        reservation: ResponseReservation,
+        reservation: Reservation,
         watch: Watch,
         until: timedelta,
     ) -> tuple[ExchangeResult, bool]:
@@ -212,12 +212,14 @@
         Sending goes on until the response is whole: what arrives before it may belong
         to another request.
         """
-        sent, refused = 0, False
+        number, sent, refused = 0, 0, False
         while not reader.complete:
-            sending = sent < len(data) and not refused
+            sending = number < len(pieces) and not refused
             if sending:
                 try:
-                    sent += send_rest(sock, data, sent)
+                    sent += send_rest(sock, pieces[number], sent)
+                    if sent == len(pieces[number]):
+                        number, sent = number + 1, 0
                     continue
                 except BlockingIOError:
                     # The socket can take more once the target has read.
@@ -235,13 +237,13 @@
         result = ExchangeResult(
             ExchangeOutcome.ANSWERED, reader.status, tuple(reader.headers), reader.body
         )
-        return result, sent == len(data)
+        return result, number == len(pieces)
 
     def _receive(
         self,
         sock: socket.socket,
         reader: ResponseReader,
-        reservation: ResponseReservation,
+        reservation: Reservation,
     ) -> str:
         """Read what has arrived of a response; return why it is broken, if it is."""
         data = sock.recv(RECEIVE_BYTES, DONT_WAIT)
@@ -308,6 +310,11 @@
             connection.sock.close()
 
 
+def _split(head: bytes, body: bytes) -> tuple[bytes, ...]:
+    """Return what to send, without a copy of a large body."""
+    return (head, body) if len(body) >= LARGE_BYTES else (head + body,)
+
+
 def _parse_keep_alive(value: bytes) -> timedelta | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- /dev/null
+++ b/tests/mesh/test_upload_memory.py
@@ -0,0 +1,115 @@
+"""Large request bodies, by the sum of what a node holds of them."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgpack
+import pytest
+from mesh_harness import POST, make_request, route, wait_until
+
+from cyclamenvane.mesh.frames import _encode
+
+SIZE = 1_000_000
+BODY = bytes(range(250)) * (SIZE // 250)
+
+
+def upload(member, attempt: str, body: bytes = BODY):
+    return member.call("/orders/", "POST", body, attempt=attempt)
+
+
+def limit_memory(member, size: int) -> None:
+    member.node._body_memory._limit = size
+
+
+def is_free(member) -> bool:
+    return not member.node._body_memory._reserved
+
+
+@pytest.mark.parametrize("local", [True, False])
+def test_bodies_of_running_calls_count_for_the_limit(pair, local):
+    """Guards against uploads that together take a node over its memory limit."""
+    entry, remote = pair
+    remote.target.delay = 0.5
+    member = remote if local else entry
+    limit_memory(member, int(2.5 * SIZE))
+    with ThreadPoolExecutor(6) as executor:
+        calls = [executor.submit(upload, member, f"u{n}") for n in range(6)]
+        responses = [each.result() for each in calls]
+    statuses = sorted(each.status for each in responses)
+    assert statuses == [200, 200, 503, 503, 503, 503]
+    refused = [each for each in responses if each.status == 503]
+    assert all(float(each.headers["retry-after"]) > 0 for each in refused)
+    assert len(remote.target.executed) == 2
+    wait_until(lambda: is_free(entry) and is_free(remote))
+    assert upload(member, "u9").status == 200
+
+
+def test_upload_that_the_other_node_cannot_hold_is_refused_as_not_run(pair):
+    """Guards against a refusal that leaves open whether the upload was run."""
+    entry, remote = pair
+    body = BODY * 9  # more than the buffers of a connection
+    routes = route(), route("post", "/orders/", **POST)
+    entry.mesh.configure(*routes, maxBodyBytes=len(body))
+    entry.mesh.wait_until_converged()
+    limit_memory(remote, SIZE)
+    for number in range(2):
+        assert upload(entry, f"r{number}", body).status == 503
+    assert not remote.target.executed
+    wait_until(lambda: is_free(entry) and is_free(remote))
+    limit_memory(remote, 20 * SIZE)
+    assert upload(entry, "r9", body).status == 200
+    assert remote.target.executed[0].body == body
+    wait_until(lambda: is_free(entry) and is_free(remote))
+
+
+def test_upload_that_its_caller_breaks_off_holds_no_memory(pair):
+    """Guards against a limit that is used up by uploads that have ended."""
+    entry, _ = pair
+    request = make_request("/orders/", "POST", BODY)
+    with entry.connect() as sock:
+        sock.sendall(request[: SIZE // 2])
+        wait_until(lambda: not is_free(entry))
+    wait_until(lambda: is_free(entry))
+
+
+def test_pipelined_upload_counts_for_the_limit(pair):
+    """Guards against bodies that are read during a call, beside the limit."""
+    entry, remote = pair
+    remote.target.delay = 0.5
+    limit_memory(entry, SIZE // 2)
+    with entry.connect() as sock:
+        sock.sendall(make_request(attempt="p1"))
+        wait_until(lambda: remote.target.executed)
+        sock.sendall(make_request("/orders/", "POST", BODY, attempt="p2")[:400_000])
+        received = b""
+        while data := sock.recv(65536):
+            received += data
+    assert received.count(b"whole") == 1
+    assert b"Connection: close" in received
+    wait_until(lambda: is_free(entry))
+    assert len(remote.target.executed) == 1
+
+
+def test_chunked_upload_is_refused_once_it_is_over_the_limit(pair):
+    """Guards against bodies whose length is not declared."""
+    entry, remote = pair
+    limit_memory(entry, SIZE // 2)
+    head = make_request("/orders/", "POST", attempt="c1")[:-2]
+    chunk = b"%x\r\n%s\r\n" % (100_000, b"x" * 100_000)
+    with entry.connect() as sock:
+        sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(6):
+            sock.sendall(chunk)
+            time.sleep(0.01)
+        assert sock.recv(65536).startswith(b"HTTP/1.1 503")
+    wait_until(lambda: is_free(entry))
+    assert not remote.target.executed
+
+
+@pytest.mark.parametrize("size", [0, 1, 65535, 65536, 200_000])
+def test_frame_in_pieces_is_the_encoded_frame(size):
+    """Guards against frames that only this release can decode."""
+    frame = [1, "svc", b"x" * size, None, [b"y" * size], b"z" * size, 7]
+    assert msgpack.unpackb(b"".join(_encode(frame))) == frame
