Do not reuse a stream after a result without a number

A node without memory for a frame refuses it without its number, and reads no more requests on that stream: the next call on it got 502, and the node counted as unreachable. A node of an earlier release that sends its refusal again could still make the next call look refused. What follows a result without a number cannot be told from it, so the stream ends with it.

--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -65,15 +65,16 @@
                 wait_result, frame = stream.receive(watch, until)
             if wait_result is WaitResult.READY:
                 result = ForwardResult.unpack(frame)
-                # Nodes of an earlier release send no number.
+                # A result of an earlier release, or for a frame that was not read
+                # whole, has no number: what follows could not be told from it.
                 if result.number not in (0, number):
                     raise FrameError(f"result {result.number} of request {number}")
-                if not sent:
-                    if result.verdict is not Verdict.NOT_RUN:
-                        raise FrameError("result of a request that was not sent")
+                if not sent and result.verdict is not Verdict.NOT_RUN:
+                    raise FrameError("result of a request that was not sent")
+                if sent and result.number:
+                    self._store_idle(address, stream)
+                else:
                     stream.close()
-                    return result
-                self._store_idle(address, stream)
                 return result
         except (OSError, ValueError, TypeError, OverflowError) as error:
             stream.close()
--- a/tests/mesh/test_second_result.py
+++ b/tests/mesh/test_second_result.py
@@ -19,8 +19,8 @@
 class RepeatingNode:
     """A node that refuses the first request, and writes its result again."""
 
-    def __init__(self, together: bool) -> None:
-        self._together = together
+    def __init__(self, together: bool, numbered: bool = True) -> None:
+        self._together, self._numbered = together, numbered
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = self._listener.getsockname()
         self.executed: list[ForwardRequest] = []
@@ -30,7 +30,7 @@
         self._listener.close()
 
     def _accept(self) -> None:
-        refusal = b""
+        refusal, refused = b"", None
         while True:
             try:
                 sock, _ = self._listener.accept()
@@ -46,21 +46,27 @@
                             result = ForwardResult(Verdict.NOT_RUN, Reason.NO_ROOM)
                             refusal = self._pack(result, request)
                             sock.sendall(refusal * (2 if self._together else 1))
+                            refused = sock
                             continue
                         self.executed.append(request)
-                        if not self._together:
+                        if not self._together and sock is refused:
                             sock.sendall(refusal)
                         result = ForwardResult(Verdict.ANSWERED, status=200, head=b"h")
                         sock.sendall(self._pack(result, request))
 
     def _pack(self, result: ForwardResult, request: ForwardRequest) -> bytes:
-        return msgpack.packb(result.pack(request.extended, request.number))
+        number = request.number if self._numbered else 0
+        return msgpack.packb(result.pack(request.extended, number))
 
 
+@pytest.mark.parametrize("numbered", [True, False])
 @pytest.mark.parametrize("together", [True, False])
-def test_second_result_of_a_request_is_none_of_the_next_one(together):
-    """Guards against a call that is taken for refused while another node runs it."""
-    node, clock = RepeatingNode(together), SystemClock()
+def test_second_result_of_a_request_is_none_of_the_next_one(together, numbered):
+    """Guards against a call that is taken for refused while another node runs it.
+
+    Nodes of an earlier release send results without a number.
+    """
+    node, clock = RepeatingNode(together, numbered), SystemClock()
     pool, watch = PeerPool(clock), watch_no_caller(clock)
     first = pool.forward(node.address, make_forward_request(attempt=b"a1"), watch)
     assert first.verdict is Verdict.NOT_RUN
