Do not take a want of descriptors for an unreachable node

A node without descriptors avoided sound nodes for up to seconds after it had some again, and refused its callers meanwhile. The error says that this node lacks descriptors, so the call is refused for want of room, and the other node keeps its standing.

--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import itertools
 import threading
 from collections import deque
@@ -57,7 +58,9 @@
         try:
             stream = self._acquire(address, check=not request.idempotent)
         except OSError as error:
-            return ForwardResult(Verdict.NOT_RUN, Reason.UNREACHABLE, detail=str(error))
+            lacks_descriptors = error.errno in (errno.EMFILE, errno.ENFILE)
+            reason = Reason.NO_ROOM if lacks_descriptors else Reason.UNREACHABLE
+            return ForwardResult(Verdict.NOT_RUN, reason, detail=str(error))
         number, sent = next(self._numbers), False
         try:
             wait_result, sent = stream.send(request.pack(number), watch, until)
--- a/tests/mesh/test_no_descriptors.py
+++ b/tests/mesh/test_no_descriptors.py
@@ -10,6 +10,8 @@
 import pytest
 from mesh_harness import make_request, wait_until
 
+from cyclamenvane.mesh import peer_pool
+
 
 @pytest.fixture
 def no_descriptors(monkeypatch):
@@ -73,3 +75,19 @@
     assert member.call("/orders/", "POST").status == 502
     monkeypatch.undo()
     wait_until(lambda: member.call("/orders/", "POST", attempt="a2").status == 200)
+
+
+def test_other_nodes_are_used_once_there_are_descriptors_again(pair, monkeypatch):
+    """Guards against nodes that count as unreachable for a want of this one's."""
+    entry, remote = pair
+
+    def fail(*arguments):
+        raise OSError(errno.EMFILE, "no descriptors")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(peer_pool, "open_connection", fail)
+        entry.node._peers.close_idle(remote.settings.peer_listener)
+        for number in range(5):
+            status = entry.call("/orders/", "POST", attempt=f"e{number}").status
+            assert status == 503
+    assert entry.call("/orders/", "POST", attempt="e9").status == 200
