Let an interrupt between two calls to the store end the next one

A node that became a watcher between the choice of its wait and the call kept a long watch, so its zone could get versions late. While the connection was kept an interrupt closed it; since each call has its own, it was forgotten.

--- a/src/cyclamenvane/platform/store.py
+++ b/src/cyclamenvane/platform/store.py
@@ -57,7 +57,7 @@
         self._address = address
         self._timeout = timeout.total_seconds()
         self._connection: HTTPConnection | None = None  # of the call in progress
-        self._interrupted = False
+        self._used = self._interrupted = False
         self._lock = threading.Lock()
         self._epoch = 0  # of the last response
 
@@ -120,9 +120,12 @@
         )
 
     def interrupt(self) -> None:
-        """Let the call in progress, if any, fail; for use by other tasks."""
+        """Let the call in progress fail, or else the next; for use by other tasks.
+
+        Do nothing before the first call.
+        """
         with self._lock:
-            self._interrupted = True
+            self._interrupted = self._used
             sock = self._connection.sock if self._connection is not None else None
             if sock is not None:
                 with suppress(OSError):  # the connection has ended already
@@ -153,6 +156,7 @@
             response = connection.getresponse()
             data = response.read(_MAX_RESPONSE_BYTES + 1)
         except _CONNECTION_ERRORS as error:
+            self._interrupted = False
             failure = RowsFailure.UNKNOWN if sent else RowsFailure.UNAVAILABLE
             return Error(RowsError(failure, repr(error)))
         finally:
@@ -183,8 +187,7 @@
         return Ok(RowsPage(changes, version))
 
     def _connect(self, timeout: float) -> HTTPConnection:
-        with self._lock:
-            self._interrupted = False
+        self._used = True
         connection = HTTPConnection(*self._address, timeout=self._timeout)
         connection.connect()
         enable_keepalive(connection.sock)
@@ -192,7 +195,7 @@
         with self._lock:
             if self._interrupted:
                 connection.close()
-                raise InterruptedError("interrupted while it connected")
+                raise InterruptedError("interrupted before the call")
             self._connection = connection
         return connection
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -256,3 +256,12 @@
     watched = client.watch("t", StoreVersion(1, 1), timedelta(seconds=20))
     assert watched.error.failure is RowsFailure.UNAVAILABLE
     listener.close()
+
+
+def test_interrupt_between_two_calls_ends_the_next_one(client, store):
+    """Guards against a node that becomes a watcher and goes on with a long watch."""
+    client.read("t", "")
+    client.interrupt()
+    watched = client.watch("t", StoreVersion(1, 0), timedelta(seconds=20))
+    assert watched.error.failure is RowsFailure.UNAVAILABLE
+    assert client.read("t", "").is_ok()
