Reject HTTP lengths with two meanings, and documents that are cut

Callers of the first daemon got a short 200 of a target that declared two lengths; a document of its platform that was cut raised in the task that asked. Evidence: test_length_that_has_two_meanings_is_no_length and test_response_that_is_no_document_leaves_the_outcome_unknown.

--- a/src/cyclamenvane/cli/demo.py
+++ b/src/cyclamenvane/cli/demo.py
@@ -14,6 +14,7 @@
 from cleo.helpers import option
 
 from ..clock import SystemClock
+from ..http_client import HTTPConnection
 from ..membership import TargetRecord
 from ..node import Node
 from ..policy import Edit, accept_edit
@@ -163,7 +164,7 @@
     secret = derive_credential(_KEYS.callers.encode(), caller).decode()
     headers = {"Authorization": f"Bearer {caller}.{secret}"}
     address = node.front_listener.address
-    connection = http.client.HTTPConnection(*address, timeout=5)
+    connection = HTTPConnection(*address, timeout=5)
     failed = False
     while time.monotonic() < end:
         counts["retried"] += failed
--- a/src/cyclamenvane/http_client.py
+++ b/src/cyclamenvane/http_client.py
@@ -69,6 +69,9 @@
         if len(encodings) != self.chunked:
             # Its end is not where the length or the connection says.
             raise http.client.UnknownTransferEncoding(", ".join(encodings))
+        lengths = self.headers.get_all("Content-Length", [])
+        if len(lengths) > 1 or not all(each.strip().isdecimal() for each in lengths):
+            raise http.client.BadStatusLine("Content-Length: " + ", ".join(lengths))
 
     def read(self, amt: int | None = None) -> bytes:
         """Read up to `amt` bytes of the body; raise IncompleteRead if it is cut."""
--- a/src/cyclamenvane/store/http.py
+++ b/src/cyclamenvane/store/http.py
@@ -65,7 +65,7 @@
         finally:
             connection.close()
         if response.status == 200:
-            return Ok(msgpack.unpackb(data))
+            return _decode(data)
         failure = _FAILURE_BY_STATUS.get(response.status, Failure.UNKNOWN)
         return Error(PlatformError(failure, data[:200].decode(errors="replace")))
 
@@ -115,6 +115,13 @@
         self.objects = _HttpObjects(client)
 
 
+def _decode(data: bytes) -> Result[Any, PlatformError]:
+    try:
+        return Ok(msgpack.unpackb(data))
+    except (msgpack.UnpackException, ValueError) as error:
+        return Error(PlatformError(Failure.UNKNOWN, repr(error)))
+
+
 def _pack_write(write: Write) -> tuple[str, bytes | None, int, int | None]:
     lifetime = write.lifetime
     seconds = None if lifetime is None else int(lifetime.total_seconds())
--- a/tests/node/test_cut_target_response.py
+++ b/tests/node/test_cut_target_response.py
@@ -81,3 +81,12 @@
     """Guards against a call that reads heads until its deadline."""
     cutting_server.data = INTERIM * 1000
     assert call(cutting_server.address).outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "lengths", ["Content-Length: 3\r\nContent-Length: 10", "Content-Length: 0_3"]
+)
+def test_length_that_has_two_meanings_is_no_length(cutting_server, lengths):
+    """Guards against a short body that looks whole by one of its lengths."""
+    cutting_server.data = HEAD + lengths.encode() + b"\r\n\r\nwhole"
+    assert call(cutting_server.address).outcome is Outcome.UNKNOWN
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -62,3 +62,18 @@
 def test_error_status_leaves_the_outcome_unknown(platform, standin) -> None:
     standin.down = True
     assert platform.table.get("a").error.failure is Failure.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n\x93\x01",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\x93\x01",
+    ],
+)
+def test_response_that_is_no_document_leaves_the_outcome_unknown(cutting_server, data):
+    """Guards against an exception that ends the task which called the store."""
+    cutting_server.data = data
+    table = HttpPlatform(cutting_server.address, timedelta(seconds=2)).table
+    assert table.get("k").error.failure is Failure.UNKNOWN
