Inject errors of the node where compiled modules see them too

Two tests replaced functions that compiled modules call directly, so they tested nothing there and failed in the compiled half. They raise the errors in the registration and in socket.socket now; the checks are as before. Without the distinction of the error, the one of other nodes fails as it did.

--- a/tests/mesh/test_no_descriptors.py
+++ b/tests/mesh/test_no_descriptors.py
@@ -4,14 +4,14 @@
 
 import errno
 import os
+import socket
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from mesh_harness import make_request, wait_until
 
-from cyclamenvane.mesh import peer_pool
-
 
 @pytest.fixture
 def no_descriptors(monkeypatch):
@@ -67,25 +67,28 @@
     entry, remote = pair
     member = remote if local else entry
 
-    def fail(request, watch, started):
+    def fail():
         raise OSError(errno.ENOBUFS, "no buffers")
 
-    proxy = remote.node.target_proxy
-    monkeypatch.setattr(type(proxy), "_check_and_send", lambda self, *args: fail(*args))
-    assert member.call("/orders/", "POST").status == 502
-    monkeypatch.undo()
+    with monkeypatch.context() as patch:
+        patch.setattr(remote.node.registration, "serving_incarnation", fail)
+        assert member.call("/orders/", "POST").status == 502
     wait_until(lambda: member.call("/orders/", "POST", attempt="a2").status == 200)
 
 
 def test_other_nodes_are_used_once_there_are_descriptors_again(pair, monkeypatch):
     """Guards against nodes that count as unreachable for a want of this one's."""
     entry, remote = pair
+    open_socket = socket.socket
 
-    def fail(*arguments):
-        raise OSError(errno.EMFILE, "no descriptors")
+    def fail(*arguments, **options):
+        in_node = threading.current_thread().name == "task"
+        if in_node and "fileno" not in options:  # not one that is accepted
+            raise OSError(errno.EMFILE, "no descriptors")
+        return open_socket(*arguments, **options)
 
     with monkeypatch.context() as patch:
-        patch.setattr(peer_pool, "open_connection", fail)
+        patch.setattr(socket, "socket", fail)
         entry.node._peers.close_idle(remote.settings.peer_listener)
         for number in range(5):
             status = entry.call("/orders/", "POST", attempt=f"e{number}").status
