Report what was logged of calls that fail beside a crash

On a failure they now print `call:done` and `forward:done` of the calls that failed, and each `target:crashed`. The checks are the same.

--- a/tests/mesh/test_poison_request.py
+++ b/tests/mesh/test_poison_request.py
@@ -76,16 +76,23 @@
             self._down.pop(0)
 
     def call(self, path=POISON, member=None, **fields):
-        attempt = f"{len(self.crashes)}-{next(self._attempts)}"
-        return (member or self.entry).call(path, attempt=attempt, **fields)
+        return (member or self.entry).call(path, attempt=self._make_attempt(), **fields)
 
     def call_with_resend(self, path):
-        """Call, and send the request again once after a failure, as callers do."""
-        response = self.call(path)
+        """Call, and send the request again once after a failure, as callers do.
+
+        Return the last status, and the attempts.
+        """
+        attempts = [self._make_attempt()]
+        response = self.entry.call(path, attempt=attempts[0])
         if response.status >= 500:
             time.sleep(float(response.headers.get("retry-after", 0)))
-            response = self.call(path)
-        return response
+            attempts.append(self._make_attempt())
+            response = self.entry.call(path, attempt=attempts[1])
+        return response.status, attempts
+
+    def _make_attempt(self) -> str:
+        return f"{len(self.crashes)}-{next(self._attempts)}"
 
 
 @pytest.fixture
@@ -150,7 +157,20 @@
     assert other.status == 200
 
 
-def test_calls_beside_a_poison_request_are_served(poisoned):
+def describe_failures(results, log_messages) -> str:
+    """Return the log lines of the calls that failed, and of all crashes."""
+    failed = {
+        attempt for status, attempts in results if status != 200 for attempt in attempts
+    }
+    return "\n".join(
+        str(message)
+        for message in log_messages
+        if message.get("id") in failed
+        or message.get("message_type") == "target:crashed"
+    )
+
+
+def test_calls_beside_a_poison_request_are_served(poisoned, log_messages):
     """Those that its targets were running when they crashed, too, and later ones."""
     stopped, results = threading.Event(), []
 
@@ -159,7 +179,7 @@
             if stopped.is_set():
                 return
             path = f"/items/{threading.get_ident()}-{number % 3}"
-            results.append(poisoned.call_with_resend(path).status)
+            results.append(poisoned.call_with_resend(path))
 
     with ThreadPoolExecutor(8) as executor:
         for _ in range(8):
@@ -170,16 +190,19 @@
             time.sleep(0.3)
         stopped.set()
     assert len(poisoned.crashes) <= MAX_CRASHES
-    assert set(results) == {200}
+    statuses = {status for status, _ in results}
+    assert statuses == {200}, describe_failures(results, log_messages)
 
 
-def test_popular_request_on_targets_that_crash_for_another_reason_is_served(poisoned):
+def test_popular_request_on_targets_that_crash_for_another_reason_is_served(
+    poisoned, log_messages
+):
     """The same request runs on three targets when they end, one after the other."""
     stopped, results = threading.Event(), []
 
     def call_on():
         while not stopped.is_set():
-            results.append(poisoned.call_with_resend("/items/popular").status)
+            results.append(poisoned.call_with_resend("/items/popular"))
 
     with ThreadPoolExecutor(8) as executor:
         for _ in range(8):
@@ -189,7 +212,8 @@
             poisoned.crash(member)
         time.sleep(0.5)
         stopped.set()
-    assert set(results) == {200}
+    statuses = {status for status, _ in results}
+    assert statuses == {200}, describe_failures(results, log_messages)
     poisoned.wait_until_back()
     assert poisoned.call("/items/popular").status == 200
 
