Send a request that comes again after a crash as a suspect at once

A caller beside a poison request got 502, sent its request again, and got 502 again: its resend ran beside the trial of the poison request and ended with the next target. The node that sent the call has the result of the crash. It marks calls of the same request as suspects until one is answered, at most for two seconds, so that they wait for their turn at the next target, whoever has been told.

--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -4,7 +4,8 @@
 not refused is sent to targets one after another: to the next target if the call
 was certainly not run, or if its outcome is unknown and the call is idempotent. A call
 during which a target crashed is sent to one further target, as a suspect of the
-quarantine. Retries are limited by the retry budget that all nodes share.
+quarantine, and so are calls of the same request that come soon after. Retries are
+limited by the retry budget that all nodes share.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from .attempts import Attempts
 from .call import Call, CallResult
+from .crashed_calls import CrashedCalls
 from .directory import Peer, PeerDirectory
 from .forward import NO_LOAD, ForwardRequest, ForwardResult, Reason, Verdict
 from .outlier import record_outcome
@@ -90,6 +92,7 @@
         self.shutdown: Shutdown | None = None  # set once the node stops
         self._local_peer = Peer(local_record(), clock)
         self._response_sizes = ResponseSizes()
+        self._crashed_calls = CrashedCalls(clock)
 
     def serve(self, call: Call, watch: Watch) -> CallResult:
         """Process a call and return its outcome; blocks until it is known."""
@@ -138,6 +141,7 @@
         nodes = self._node_count()
         attempts = Attempts(call, service, nodes, self._budget, self._shedder)
         result = _NOT_SENT
+        is_suspect = self._crashed_calls.contains(call.head, call.body)
         while attempts.may_send_again(result):
             now = self._clock.monotonic()
             if now >= call.deadline:
@@ -147,9 +151,8 @@
                 peer = self._select_peer(call, service, attempts.tried, now)
             if peer is None or not attempts.spend(result):
                 break
-            result = self._forward_call(
-                call, service, peer, attempts.crashes, watch, now
-            )
+            crashes = max(attempts.crashes, int(is_suspect))
+            result = self._forward_call(call, service, peer, crashes, watch, now)
             attempts.add(peer.record.node, result)
             if result.verdict is Verdict.ANSWERED:
                 attempts.report(result)
@@ -261,10 +264,12 @@
             self._levels.update(call.route.name, result.load.level)
         if result.verdict is Verdict.ANSWERED and result.status < 500:
             peer.record_success()
+            self._crashed_calls.remove(call.head, call.body)
         elif result.reason in (Reason.BROKEN, Reason.TARGET_REFUSED):
             peer.record_fault()
         elif result.has_crashed_target():
             peer.record_fault()
+            self._crashed_calls.add(call.head, call.body)
         elif result.reason is Reason.LEAVING:
             peer.record_not_serving()
         if result.load.version > self._get_version():
--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -144,7 +144,8 @@
 
     `head` lacks the header lines that the last hop adds. `remaining` is the time
     left until the deadline, `max_wait` the time the call may be queued. `crashes` is
-    the number of targets that crashed while they ran it. `extended` is whether the
+    the number of targets that crashed while they ran it, at least 1 if one did during a
+    recent call of the same request. `extended` is whether the
     sender reads the extension of a result; nodes of an earlier release do not. `number`
     is that of the exchange, which its result has as well; 0 from an earlier release.
     """
--- a/tests/mesh/test_dispatch.py
+++ b/tests/mesh/test_dispatch.py
@@ -126,6 +126,19 @@
     assert [request.crashes for request in nodes.requests] == [0, 1]
 
 
+def test_request_that_comes_again_after_a_crash_is_sent_as_a_suspect(
+    dispatcher, nodes, clock
+):
+    """The target's node may not have been told of the crash of the other target."""
+    nodes.outcome = ForwardResult(Verdict.UNKNOWN, Reason.CRASHED, load=LOAD)
+    dispatcher.serve(make_call(clock, idempotent=False), WATCH)
+    nodes.outcome = ForwardResult(Verdict.ANSWERED, status=200, load=LOAD)
+    dispatcher.serve(replace(make_call(clock), head=b"GET /other"), WATCH)
+    dispatcher.serve(make_call(clock), WATCH)
+    dispatcher.serve(make_call(clock), WATCH)
+    assert [request.crashes for request in nodes.requests] == [0, 0, 1, 0]
+
+
 def test_own_target_is_counted_when_targets_are_ejected(clock, nodes, budget):
     """Failure: of two targets, one being the node's own, none is ever ejected."""
     nodes.duration = timedelta()
--- a/tests/mesh/test_poison_request.py
+++ b/tests/mesh/test_poison_request.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 import pytest
 from builders import make_forward_request, make_watch
@@ -244,6 +245,34 @@
     assert not member.target.executed
 
 
+def test_request_that_comes_again_at_once_does_not_run_beside_a_suspect(poisoned):
+    """The nodes of the targets have not told each other of the first crash."""
+    for member in poisoned.members:
+        member.node._quarantine_sync._tell_peers = lambda watch: None
+        member.target.delay = 0.8
+
+    def call():
+        return poisoned.call("/orders/", method="POST", body=b"another").status
+
+    def list_running():
+        return [each for each in poisoned.members if each.target.executed]
+
+    with ThreadPoolExecutor(1) as executor:
+        first = executor.submit(call)
+        wait_until(list_running)
+        (crashed,) = list_running()
+        poisoned.crash(crashed)
+        assert first.result() == 502
+        others = [each for each in poisoned.members if each is not crashed]
+        with ExitStack() as turns:
+            for each in others:
+                turns.enter_context(each.node.target_proxy._suspect_turn)
+            second = executor.submit(call)
+            time.sleep(0.2)
+            assert list_running() == [crashed]
+        assert second.result() == 200
+
+
 def test_answer_of_a_request_that_began_before_clears_it_at_all_nodes(poisoned):
     """It ran at one target while two others crashed during the same request."""
     for member in poisoned.members:
