--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -88,7 +88,8 @@
 
     `head` lacks the header lines that the last hop adds. `remaining` is the time
     left until the deadline, `max_wait` the time the call may be queued. `crashes` is
-    the number of targets that crashed while they ran it. `extended` is whether the
+    the number of targets that crashed while they ran it, at least 1 if one did during a
+    recent call of the same request. `extended` is whether the
     sender reads the extension of a result; nodes of an earlier release do not. `number`
     is that of the exchange, which its result has as well; 0 from an earlier release.
     """
@@ -234,6 +235,14 @@
         self.reports_usage = reports_usage
         self.number = number
 
+    def has_crashed_target(self) -> bool:
+        """Return whether the target crashed while it ran the call.
+
+        A call whose crash put its request into quarantine has the reason of that.
+        """
+        crashed = self.reason in (Reason.CRASHED, Reason.QUARANTINED)
+        return crashed and self.verdict is Verdict.UNKNOWN
+
     def with_load(self, load: Load, usage: tuple[ServiceUsage, ...]) -> ForwardResult:
         """Return the result with the load and the usage to report."""
         # Made for each call, which `dataclasses.replace` takes twice as long for.
--- a/tests/mesh/test_poison_request.py
+++ b/tests/mesh/test_poison_request.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 import pytest
 from builders import make_forward_request, make_watch
@@ -17,6 +18,7 @@
 from cyclamenvane.mesh.quarantine import Standing
 
 POISON = "/items/poison"
+POISON_HEAD = b"GET /items/poison HTTP/1.1\r\nhost: shop.example\r\n"
 POPULAR_HEAD = b"GET /items/popular HTTP/1.1\r\nhost: shop.example\r\n"
 RUN_S = 0.03  # until a target that runs the poison request crashes
 DOWN_S = 0.4  # until the target is back
@@ -76,16 +78,23 @@
             self._down.pop(0)
 
     def call(self, path=POISON, member=None, **fields):
-        attempt = f"{len(self.crashes)}-{next(self._attempts)}"
-        return (member or self.entry).call(path, attempt=attempt, **fields)
+        return (member or self.entry).call(path, attempt=self._make_attempt(), **fields)
 
     def call_with_resend(self, path):
-        """Call, and send the request again once after a failure, as callers do."""
-        response = self.call(path)
+        """Call, and send the request again once after a failure, as callers do.
+
+        Return the last status, and the attempts.
+        """
+        attempts = [self._make_attempt()]
+        response = self.entry.call(path, attempt=attempts[0])
         if response.status >= 500:
             time.sleep(float(response.headers.get("retry-after", 0)))
-            response = self.call(path)
-        return response
+            attempts.append(self._make_attempt())
+            response = self.entry.call(path, attempt=attempts[1])
+        return response.status, attempts
+
+    def _make_attempt(self) -> str:
+        return f"{len(self.crashes)}-{next(self._attempts)}"
 
 
 @pytest.fixture
@@ -134,6 +143,16 @@
     assert len(poisoned.crashes) == known <= MAX_CRASHES
 
 
+def test_crash_that_shows_the_request_at_fault_is_the_last_of_its_call(poisoned):
+    """The other nodes have not been told of it when the call could be sent again."""
+    for member in poisoned.members:
+        member.node._quarantine_sync._tell_peers = lambda watch: None
+        contents = [digest_content(POISON_HEAD, b""), b"0" * 16]
+        member.node.target_proxy.quarantine.record_crash(contents, "i-8")
+    assert poisoned.call().status == 502
+    assert len(poisoned.crashes) == 1
+
+
 def test_poison_request_that_runs_at_most_once_is_not_sent_to_further_targets(
     poisoned,
 ):
@@ -150,7 +169,20 @@
     assert other.status == 200
 
 
-def test_calls_beside_a_poison_request_are_served(poisoned):
+def describe_failures(results, log_messages) -> str:
+    """Return the log lines of the calls that failed, and of all crashes."""
+    failed = {
+        attempt for status, attempts in results if status != 200 for attempt in attempts
+    }
+    return "\n".join(
+        str(message)
+        for message in log_messages
+        if message.get("id") in failed
+        or message.get("message_type") == "target:crashed"
+    )
+
+
+def test_calls_beside_a_poison_request_are_served(poisoned, log_messages):
     """Those that its targets were running when they crashed, too, and later ones."""
     stopped, results = threading.Event(), []
 
@@ -159,7 +191,7 @@
             if stopped.is_set():
                 return
             path = f"/items/{threading.get_ident()}-{number % 3}"
-            results.append(poisoned.call_with_resend(path).status)
+            results.append(poisoned.call_with_resend(path))
 
     with ThreadPoolExecutor(8) as executor:
         for _ in range(8):
@@ -170,16 +202,19 @@
             time.sleep(0.3)
         stopped.set()
     assert len(poisoned.crashes) <= MAX_CRASHES
-    assert set(results) == {200}
+    statuses = {status for status, _ in results}
+    assert statuses == {200}, describe_failures(results, log_messages)
 
 
-def test_popular_request_on_targets_that_crash_for_another_reason_is_served(poisoned):
+def test_popular_request_on_targets_that_crash_for_another_reason_is_served(
+    poisoned, log_messages
+):
     """The same request runs on three targets when they end, one after the other."""
     stopped, results = threading.Event(), []
 
     def call_on():
         while not stopped.is_set():
-            results.append(poisoned.call_with_resend("/items/popular").status)
+            results.append(poisoned.call_with_resend("/items/popular"))
 
     with ThreadPoolExecutor(8) as executor:
         for _ in range(8):
@@ -189,7 +224,8 @@
             poisoned.crash(member)
         time.sleep(0.5)
         stopped.set()
-    assert set(results) == {200}
+    statuses = {status for status, _ in results}
+    assert statuses == {200}, describe_failures(results, log_messages)
     poisoned.wait_until_back()
     assert poisoned.call("/items/popular").status == 200
 
@@ -209,6 +245,34 @@
     assert not member.target.executed
 
 
+def test_request_that_comes_again_at_once_does_not_run_beside_a_suspect(poisoned):
+    """The nodes of the targets have not told each other of the first crash."""
+    for member in poisoned.members:
+        member.node._quarantine_sync._tell_peers = lambda watch: None
+        member.target.delay = 0.8
+
+    def call():
+        return poisoned.call("/orders/", method="POST", body=b"another").status
+
+    def list_running():
+        return [each for each in poisoned.members if each.target.executed]
+
+    with ThreadPoolExecutor(1) as executor:
+        first = executor.submit(call)
+        wait_until(list_running)
+        (crashed,) = list_running()
+        poisoned.crash(crashed)
+        assert first.result() == 502
+        others = [each for each in poisoned.members if each is not crashed]
+        with ExitStack() as turns:
+            for each in others:
+                turns.enter_context(each.node.target_proxy._suspect_turn)
+            second = executor.submit(call)
+            time.sleep(0.2)
+            assert list_running() == [crashed]
+        assert second.result() == 200
+
+
 def test_answer_of_a_request_that_began_before_clears_it_at_all_nodes(poisoned):
     """It ran at one target while two others crashed during the same request."""
     for member in poisoned.members:
