Let a zone's first nodes try the store when a watcher has lost it

Cause: the store turned away the first five in rank of that zone's seven nodes (7, 2, 6, 1, 3) and served the last two. After two replaced watchers it was left to a draw of 2/7 whether a node that was served tried it, and turned-away nodes got the version only with calls. Followers heard of the loss at the end of their waits, and a node that was asked again forgot its failures and said for 0.5 s that it reached the store. Why it works: the watcher ends its followers' waits when it has lost the store; the first 16 in rank then read the configuration themselves, and the one that gets a newer version sends hellos, so all fetch it in the next round. The address in the hello's record is used: the connection may come from another one. No more than 16 explore, whatever the zone's size. Open: in a zone of more than 16 nodes whose first 16 are all turned away it is still left to a draw.

--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -57,6 +57,7 @@
         publisher: RecordPublisher,
         open_store: Callable[[], RowStore],
         store_watch: StoreWatch,
+        is_exploring: Callable[[], bool],
         confirmation: Confirmation,
         metrics: Metrics,
         clock: Clock,
@@ -71,6 +72,7 @@
         self._publisher = publisher
         self._open_store = open_store
         self._store_watch = store_watch
+        self._is_exploring = is_exploring
         self._confirmation = confirmation
         self._metrics = metrics
         self._clock = clock
@@ -189,8 +191,10 @@
                     error=decoded.error,
                     in_force=self._configuration.version(),
                 )
-            else:
-                self._configuration.apply(decoded.ok, "rows")
+            elif self._configuration.apply(decoded.ok, "rows") and self._is_exploring():
+                # Nodes that the store turns away may follow one another.
+                zone = self.list_zone()
+                self._peer_sync.announce_version([each.address for each in zone])
 
     def apply_node_snapshot(
         self, changes: list[RowChange], version: StoreVersion
--- a/src/cyclamenvane/mesh/peer_sync.py
+++ b/src/cyclamenvane/mesh/peer_sync.py
@@ -62,6 +62,7 @@
         self._clock = clock
         self._sleep = sleep
         self._newer_versions: dict[Address, int] = {}
+        self._announced: Sequence[Address] = ()
         self._lock = threading.Lock()
         self.confirmations = ConfirmationSync(
             confirmation,
@@ -89,6 +90,11 @@
         with self._lock:
             self._newer_versions[address] = version
 
+    def announce_version(self, addresses: Sequence[Address]) -> None:
+        """Send hellos with the version in force in the next round."""
+        with self._lock:
+            self._announced = addresses
+
     def make_snapshot(self) -> list[Any]:
         """Return a snapshot frame: the configuration and the known records."""
         table = self._configuration.current()
@@ -102,10 +108,20 @@
         watch = watch_no_caller(self._clock)
         while self._sleep(_ROUND_INTERVAL):
             self._directory.remove_expired()
+            self._send_announcements(watch)
             self._probe_unreachable(watch)
             self._fetch_snapshots(watch)
             self.confirmations.run_round(watch)
 
+    def _send_announcements(self, watch: Watch) -> None:
+        with self._lock:
+            addresses, self._announced = self._announced, ()
+        for address in addresses:
+            hello = self.make_hello()
+            response = self._peers.request(address, hello, watch, _REQUEST_TIMEOUT)
+            if response is not None:
+                self.apply_hello(response, address)
+
     def _probe_unreachable(self, watch: Watch) -> None:
         now = self._clock.monotonic()
         for peer in self._directory.peers():
@@ -129,7 +145,9 @@
         if record is not None:
             self.apply_record(record)
         if frame[1] > self._configuration.version():
-            self.add_newer_version(frame[1], address)
+            # The connection may come from another address of the node's VM.
+            known = address if record is None else record.address
+            self.add_newer_version(frame[1], known)
 
     def make_hello(self) -> list[Any]:
         """Return a hello frame: the configuration version and this node's record."""
--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -146,13 +146,9 @@
         self._log_change(watcher.node if watcher else self._local_node)
         if watcher is None:
             self._close()
-            self._store_watch.follow_all()
-            if self._store_watch.state() is WatchState.LOST:
-                self._selection.record_store_lost(self._local_node)
-            self._sleep(_ROLE_INTERVAL)
+            self._watch_store()
             return
-        standby = self._selection.is_standby()
-        self._store_watch.follow(self._standby_tables if standby else ())
+        self._follow_as_standby()
         asked_at = self._clock.monotonic()
         answer = self._ask(watcher, watch)
         if answer is None:
@@ -167,8 +163,26 @@
             self._selection.record_answer(watcher.node)
         else:
             self._selection.record_store_lost(watcher.node)
+            self._follow_as_standby()
             self._sleep(_RETRY_DELAY * random.uniform(0.5, 1.5))
 
+    def _follow_as_standby(self) -> None:
+        if self._store_watch.reaches(self._standby_tables):
+            self._selection.record_store_reached()
+        standby = self._selection.is_standby()
+        self._store_watch.follow(self._standby_tables if standby else ())
+
+    def _watch_store(self) -> None:
+        self._store_watch.follow_all()
+        # The first calls of a new watcher are made meanwhile.
+        self._sleep(_ROLE_INTERVAL)
+        state = self._store_watch.state()
+        if state is WatchState.LOST:
+            self._selection.record_store_lost(self._local_node)
+            self._replica.wake()  # the followers are to know at once
+        elif state is WatchState.CURRENT:
+            self._selection.record_store_reached()
+
     def _log_change(self, followed: str) -> None:
         if followed != self._followed:
             self._close()
--- a/src/cyclamenvane/mesh/store_client.py
+++ b/src/cyclamenvane/mesh/store_client.py
@@ -58,6 +58,7 @@
         tables = (adapter.configuration_table, NODES_TABLE)
         self.store_watch = StoreWatch(tables, clock)
         self.publisher = RecordPublisher(open_store(), make_record, sleep)
+        selection = WatcherSelection(node, lambda: self.discovery.list_zone(), clock)
         self.discovery = Discovery(
             get_settings,
             adapter,
@@ -68,13 +69,13 @@
             self.publisher,
             open_store,
             self.store_watch,
+            selection.is_exploring,
             confirmation,
             metrics,
             clock,
             sleep,
         )
         replica = self.discovery.replica
-        selection = WatcherSelection(node, self.discovery.list_zone, clock)
         self.relay = Relay(replica, self.store_watch, selection, confirmation, clock)
         self._follower = Follower(
             node,
--- a/src/cyclamenvane/mesh/store_watch.py
+++ b/src/cyclamenvane/mesh/store_watch.py
@@ -47,7 +47,8 @@
     def follow(self, tables: Collection[str]) -> None:
         """Run the subscriptions of these tables only.
 
-        The others stop after the calls to the store that are running.
+        The others stop after the calls to the store that are running. A table whose
+        last call failed stays lost until a call succeeds.
         """
         with self._lock:
             was_watcher = self.is_watcher()
@@ -57,7 +58,6 @@
                 elif not active.is_set():
                     self._started_at[table] = self._clock.monotonic()
                     self._reached_at.pop(table, None)
-                    self._failing_since.pop(table, None)
                     active.set()
             becomes_watcher = self.is_watcher() and not was_watcher
         if becomes_watcher:
@@ -94,6 +94,16 @@
             else:
                 self._failing_since.setdefault(table, now)
 
+    def reaches(self, tables: Collection[str]) -> bool:
+        """Return whether these tables are followed and their last calls succeeded."""
+        with self._lock:
+            return all(
+                self._active[table].is_set()
+                and table in self._reached_at
+                and table not in self._failing_since
+                for table in tables
+            )
+
     def on_new_epoch(self, table: str, interrupt: Callable[[], None]) -> None:
         """Call `interrupt` when the store was restored, as another table shows.
 
@@ -112,13 +122,13 @@
             self._interrupts[name]()
 
     def state(self) -> WatchState:
-        """Return whether all tables are followed without a failure."""
+        """Return whether all tables are followed, and the last calls succeeded."""
         now = self._clock.monotonic()
         with self._lock:
-            if len(self.followed()) < len(self._active):
-                return WatchState.STARTING
             if any(now - at > _LOST_AFTER for at in self._failing_since.values()):
                 return WatchState.LOST
+            if len(self.followed()) < len(self._active):
+                return WatchState.STARTING
             last = (self._started_at | self._reached_at).values()
             if any(now - at > _MAX_RESULT_AGE for at in last):
                 return WatchState.LOST
--- a/src/cyclamenvane/mesh/watchers.py
+++ b/src/cyclamenvane/mesh/watchers.py
@@ -34,7 +34,11 @@
 # When more watchers than this have lost the store, the store is down, and further
 # watchers would not reach it either.
 _MAX_REPLACED_WATCHERS = 2
-_EXPLORERS = 2  # nodes of a zone that try the store when its watchers have lost it
+# The first nodes in rank try to read the configuration at once when a watcher has lost
+# the store, which may still serve some of them. A few at random become watchers.
+_MAX_EXPLORERS = 16
+_EXPLORATION_PERIOD = timedelta(seconds=1)  # if the store does not answer
+_RANDOM_WATCHERS = 2
 _MAX_FAILURES = 4  # watchers in a row that do not answer, before the store is tried
 _WATCH_PERIOD = timedelta(seconds=5)  # of a node that is not among the first
 
@@ -67,6 +71,8 @@
         self._failures = 0
         self._standby = ""
         self._watching_until = timedelta()
+        self._explored = False
+        self._exploring_until = timedelta()
 
     def select(self, has_rows: bool = True) -> NodeRecord | None:
         """Return the watcher to follow, None if the local node is one.
@@ -89,8 +95,11 @@
         return records[watchers[_hash(self._local_node) % len(watchers)]]
 
     def is_standby(self) -> bool:
-        """Return whether the local node was next in rank in the last selection."""
-        return self._standby == self._local_node
+        """Return whether the local node follows the configuration beside its watcher.
+
+        It does if it was next in rank in the last selection, or is exploring.
+        """
+        return self._standby == self._local_node or self.is_exploring()
 
     def record_request(self) -> None:
         """Record that another node follows the local one."""
@@ -99,6 +108,7 @@
     def record_answer(self, node: str) -> None:
         """Record that a watcher answered and reaches the store."""
         self._failures = 0
+        self._explored = False
         self._silent.pop(node, None)
         self._without_store.pop(node, None)
 
@@ -117,10 +127,31 @@
         self._failures = 0
         self._silent.pop(node, None)
         self._without_store[node] = self._clock.monotonic() + _STORE_LOST_PAUSE
-        nodes = len(self._list_nodes()) + 1
-        if node != self._local_node and self._draw() < _EXPLORERS / nodes:
+        if node == self._local_node:
+            return
+        nodes = [each.node for each in self._list_nodes()] + [self._local_node]
+        first = rank_nodes(nodes)[:_MAX_EXPLORERS]
+        if not self._explored and self._local_node in first:
+            self._explored = True
+            self._extend_exploration(_EXPLORATION_PERIOD)
+        if self._draw() < _RANDOM_WATCHERS / len(nodes):
             self._extend_watch(_WATCH_PERIOD)
 
+    def record_store_reached(self) -> None:
+        """Record that the local node, as a standby, reaches the store itself."""
+        if self._explored:
+            self._explored = False
+            self._extend_exploration(_WATCH_PERIOD)
+
+    def is_exploring(self) -> bool:
+        """Return whether the local node tries the store since its watcher lost it."""
+        return self._clock.monotonic() < self._exploring_until
+
+    def _extend_exploration(self, period: timedelta) -> None:
+        self._exploring_until = max(
+            self._exploring_until, self._clock.monotonic() + period
+        )
+
     def _extend_watch(self, period: timedelta) -> None:
         self._watching_until = max(
             self._watching_until, self._clock.monotonic() + period
--- a/tests/mesh/test_watchers.py
+++ b/tests/mesh/test_watchers.py
@@ -115,6 +115,43 @@
     assert selection.select() is None
 
 
+def test_first_nodes_in_rank_try_the_store_once_when_a_watcher_has_lost_it(clock):
+    """Guards against many calls to a store that is down for all nodes."""
+    zone = Zone(clock, 40)
+    for _ in range(3):
+        for selection in zone.selections.values():
+            selection.record_store_lost(zone.ranked[0])
+        clock.advance(0.3)
+    exploring = [node for node in zone.ranked if zone.selections[node].is_exploring()]
+    assert exploring == zone.ranked[1:16]
+    assert all(zone.selections[node].is_standby() for node in exploring)
+    assert len(zone.watchers()) <= 2
+    clock.advance(0.2)
+    for node in exploring:
+        zone.selections[node].record_store_lost(zone.ranked[0])
+        assert not zone.selections[node].is_exploring()
+
+
+@pytest.mark.parametrize("by_itself", [True, False])
+def test_node_tries_the_store_again_after_it_was_reached(clock, by_itself):
+    zone = Zone(clock, 40)
+    first, second, third = zone.ranked[:3]
+    selection = zone.selections[third]
+    selection.record_store_lost(first)
+    clock.advance(1.1)
+    assert not selection.is_exploring()
+    if by_itself:
+        selection.record_store_reached()
+        clock.advance(4.9)
+        assert selection.is_exploring()
+        clock.advance(0.2)
+        assert not selection.is_exploring()
+    else:
+        selection.record_answer(second)
+    selection.record_store_lost(first)
+    assert selection.is_exploring()
+
+
 def test_node_without_rows_asks_another_node_for_them(clock):
     zone = Zone(clock, 10)
     first, second = zone.ranked[:2]
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -9,11 +9,12 @@
 
 import base64
 import json
+import socket
 import threading
 import time
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
@@ -168,13 +169,17 @@
         self.status = 0
         self._store = store
         handler = type("Handler", (_Handler,), {"store": self})
-        self._server = _Server(("127.0.0.1", 0), handler)
+        self._server = _DoorServer(("127.0.0.1", 0), handler)
         self.address = self._server.server_address[:2]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def __getattr__(self, name: str):
         return getattr(self._store, name)
 
+    def turn_away(self) -> None:
+        """Close all connections, also those that wait, and each new one at once."""
+        self._server.turn_away()
+
     def close(self) -> None:
         self._server.shutdown()
         self._server.server_close()
@@ -191,6 +196,26 @@
         """Ignore errors: test clients often disconnect during a call."""
 
 
+class _DoorServer(_Server):
+    def __init__(self, *arguments) -> None:
+        self.turned_away = False
+        self._connections: list[socket.socket] = []
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address) -> None:
+        self._connections.append(request)
+        if self.turned_away:
+            self.shutdown_request(request)
+        else:
+            super().process_request(request, client_address)
+
+    def turn_away(self) -> None:
+        self.turned_away = True
+        for connection in self._connections:
+            with suppress(OSError):  # closed by the client
+                connection.shutdown(socket.SHUT_RDWR)
+
+
 class _Handler(BaseHTTPRequestHandler):
     store: StoreStandIn
     protocol_version = "HTTP/1.1"
