--- a/src/cyclamenvane/mesh/crashed_calls.py
+++ b/src/cyclamenvane/mesh/crashed_calls.py
@@ -1,8 +1,8 @@
 """The requests that ended with a crash of their target, at the node that sent them.
 
-Answers a caller that sends its request again before the nodes of the service have told
-each other of the crash. This node has the result, so it can say without any message
-that the request is a suspect. Then it is not sent to a target that runs another one.
+A caller may send its request again before the nodes of the service have told each other
+of the crash. This node has the result, so it can mark the request as a suspect without
+any message. Then it is not sent to a target that runs another suspect.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 __all__ = ["CrashedCalls"]
 
 _MAX_ENTRIES = 1024  # about 0.2 KB each
-# The nodes of a service that can be reached have been told after it.
+# By then, all reachable nodes of the service know of the crash.
 _TTL = timedelta(seconds=2)
 
 
--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -68,8 +68,8 @@
                 wait_result, frame = stream.receive(watch, until)
             if wait_result is WaitResult.READY:
                 result = ForwardResult.unpack(frame)
-                # A result of an earlier release, or for a frame that was not read
-                # whole, has no number: what follows could not be told from it.
+                # Nodes of an earlier release, and those that refuse a frame before
+                # they have read it, send no number. Such a stream is not used again.
                 if result.number not in (0, number):
                     raise FrameError(f"result {result.number} of request {number}")
                 if not sent and result.verdict is not Verdict.NOT_RUN:
--- a/src/cyclamenvane/mesh/relay.py
+++ b/src/cyclamenvane/mesh/relay.py
@@ -179,7 +179,7 @@
         state = self._store_watch.state()
         if state is WatchState.LOST:
             self._selection.record_store_lost(self._local_node)
-            self._replica.wake()  # the followers are to know at once
+            self._replica.wake()  # so that followers learn of it at once
         elif state is WatchState.CURRENT:
             self._selection.record_store_reached()
 
