--- a/review/7/run.py
+++ b/review/7/run.py
@@ -10,7 +10,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import lab2  # noqa: E402
 
-LEAVING = 4  # of eight machines
+MACHINES = 16
+LEAVING = 4  # of them, a share of 0.25
+BETWEEN_S = 1.5  # two kills, so that one node at a time is down
+CLIENT_NODES = 8
 DRAIN_TIMEOUT_S = 2.0
 STABLE_WINDOW_S = 3.0
 DOWN_S = 0.7  # of a killed node
@@ -66,12 +69,12 @@
 
 
 def main():
-    fleet = lab2.Fleet(__file__, ["desk"] * 8, work_s=0.15)
+    fleet = lab2.Fleet(__file__, ["desk"] * MACHINES, work_s=0.15)
     fleet.configure(lab2.route("orders", "desk", "non_idempotent"))
     fleet.start()
     stopped, statuses = threading.Event(), []
     # The machines that take the requests from clients are not disturbed.
-    for node in fleet.nodes[LEAVING:]:
+    for node in fleet.nodes[LEAVING : LEAVING + CLIENT_NODES]:
         arguments = lab2.Client(fleet, node), stopped, statuses
         threading.Thread(target=send_requests, args=arguments, daemon=True).start()
     time.sleep(1.0)
@@ -80,7 +83,7 @@
         cases.append(Leaving(node, server))
         threads.append(threading.Thread(target=cases[-1].run))
         threads[-1].start()
-        time.sleep(0.3)
+        time.sleep(BETWEEN_S)
     for thread in threads:
         thread.join(30)
     time.sleep(0.5)
