--- a/tests/soak/daemon_process.py
+++ b/tests/soak/daemon_process.py
@@ -53,6 +53,15 @@
                 command, stdout=log, stderr=log, env=environment
             )
 
+    def process_id(self) -> int:
+        """Return the ID of the process of the last start."""
+        assert self._process is not None
+        return self._process.pid
+
+    def is_running(self) -> bool:
+        """Return whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     def send(self, number: int) -> None:
         """Send a signal to the process, which should be running."""
         assert self._process is not None
