Return the memory of a burst to the system

Callers saw: a body of 20 MB refused, and nodes ended over their memory, after a crowd of uploads had gone; 230 MB stayed resident then.

Cause: up to 512 tasks allocate from arenas of their own, and the C library keeps larger and larger blocks in them once one was freed. So a burst leaves freed blocks in all arenas, and the next one comes on top.

Change: the daemon uses one arena, maps blocks of 128 KB and more and trims the heap; the interpreter's lock lets one thread allocate at a time anyway.

--- a/src/cyclamenvane/platform/daemon.py
+++ b/src/cyclamenvane/platform/daemon.py
@@ -16,6 +16,7 @@
 
 import eliot
 
+from ..allocator import limit_arenas
 from ..clock import SystemClock
 from ..mesh import MeshNode
 from ..mesh.log import LogWriter
@@ -38,6 +39,7 @@
     # Blocked before the first thread starts, so that no thread gets them. They wait for
     # the loop below: a handler could run while another one holds the lock of an event.
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    limit_arenas()
     log = LogWriter(sys.stdout.buffer)
     writers = ThreadPoolExecutor(1, thread_name_prefix="log")
     log.start(writers)
