Limit trailers, and count a head once

Cause: the parser holds a field, a chunk head or a trailer until it is whole, and the reader counted only what the parser had returned. Heads were counted by their fields and again by the data that they came in. The objects of fields counted for nothing.

Change: what is received of a head counts until the head is whole, then its parsed parts. Framing of a body that brings no body bytes is limited by maxHeaderBytes, as a head is, and all of it by 16 bytes for each body byte: chunks of one byte take 5. What is over gets 431 and has not been run.

--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -15,6 +15,7 @@
     from .message import Request
 
 __all__ = [
+    "FIELD_OVERHEAD_BYTES",
     "HeaderNames",
     "Headers",
     "find_header",
@@ -25,6 +26,8 @@
     "render_response_head",
 ]
 
+FIELD_OVERHEAD_BYTES = 200  # of the objects of one field
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # Headers of a single connection, and those that each hop sets itself.
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -11,12 +11,19 @@
 import httptools
 
 from .body_buffer import BodyBuffer
-from .heads import Headers, find_header
+from .heads import FIELD_OVERHEAD_BYTES, Headers, find_header
 from .memory import BodyMemory, Reservation
 from .model import CallerLimits
 
 __all__ = ["Request", "RequestError", "RequestReader"]
 
+_REQUEST_OVERHEAD_BYTES = 2048  # of the objects of a request and its task
+_SMALL_BYTES = 16 * 1024
+_MIN_FIELD_FRAMING_BYTES = 3  # the colon and the line end
+# Chunks of one byte take five bytes more each.
+_FRAMING_PER_BODY_BYTE = 16
+_FRAMING_MARGIN_BYTES = 64 * 1024  # what is read at once
+
 
 class RequestError(Enum):
     """Reason why received data is not a valid request, with the response status."""
@@ -72,7 +79,7 @@
 class RequestReader:
     """Parses the requests of one connection.
 
-    The bodies take their memory from `memory`, if it is given.
+    What it holds takes its memory from `memory`, if it is given.
     """
 
     def __init__(self, limits: CallerLimits, memory: BodyMemory | None = None) -> None:
@@ -84,21 +91,47 @@
         self.in_head = False
         self.in_body = False
         self.expects_continue = False
+        # Set while others are served: what is read then is not limited by the tasks.
+        self.reads_ahead = False
+        self._messages = 0  # begun
         self._parser: Any = httptools.HttpRequestParser(self)
         self._reset()
 
     def feed(self, data: bytes) -> RequestError | None:
         """Parse received data; append the requests in it to `complete_requests`."""
+        was_idle, messages = not self.is_partial(), self._messages
+        body_bytes = self._body_bytes
         if self.error is None and not self._parse(data):
             self._set_malformed()
-        if self.in_head and self.error is None:
-            self._head_bytes += len(data)
-            if self._head_bytes > 2 * self.limits.header_bytes:
-                self.error = RequestError.HEAD_TOO_LARGE
-        if self.in_body and self.error is None and not self._reserve():
-            self.error = RequestError.NO_MEMORY
+        if self.error is None and self.is_partial():
+            begun = self._messages - messages
+            if begun == 0:
+                self._count_partial(len(data), self._body_bytes - body_bytes)
+            elif begun == 1 and was_idle and self.in_head:
+                self._count_partial(len(data.lstrip(b"\r\n")), 0)
+            # Else the data begins with the end of another request.
+            if self.error is None and not self._cover(self.held_bytes):
+                self.error = RequestError.NO_MEMORY
         return self.error
 
+    def _count_partial(self, size: int, body_size: int) -> None:
+        """Count data of a request that is not whole, some of it of its body."""
+        if self.in_head:
+            self._received_head_bytes += size
+            if self._received_head_bytes > self.limits.header_bytes:
+                self.error = RequestError.HEAD_TOO_LARGE
+            return
+        framing_bytes = size - body_size
+        self._framing_bytes += framing_bytes
+        # The parser holds a chunk head or a trailer until it is whole.
+        self._trailer_bytes = 0 if body_size else self._trailer_bytes + framing_bytes
+        allowed = _FRAMING_MARGIN_BYTES + self._body_bytes * _FRAMING_PER_BODY_BYTE
+        if (
+            self._trailer_bytes > self.limits.header_bytes
+            or self._framing_bytes > self.limits.header_bytes + allowed
+        ):
+            self.error = RequestError.HEAD_TOO_LARGE
+
     def _parse(self, data: bytes) -> bool:
         try:
             self._parser.feed_data(data)
@@ -115,25 +148,35 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = BodyBuffer()
-        self._head_bytes = 0
+        self._head_bytes = 0  # of the parsed part
+        self._received_head_bytes = 0
+        self._framing_bytes = 0
+        self._trailer_bytes = 0
         self._body_bytes = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """About the memory that the request takes that is being read, in bytes."""
+        head = max(self._head_bytes, self._received_head_bytes)
+        head += len(self._headers) * FIELD_OVERHEAD_BYTES
+        return head + self._trailer_bytes + self._body_bytes
+
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
         self._reset()
+        self._messages += 1
         self.in_head = True
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser with the request target, or a part of it."""
         self._url += url
+        self._count_parsed(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header, and for each trailer."""
         if not self.in_head:
             return
-        self._head_bytes += len(name) + len(value) + 4
-        if self._head_bytes > self.limits.header_bytes:
-            self._fail(RequestError.HEAD_TOO_LARGE)
+        self._count_parsed(len(name) + len(value) + _MIN_FIELD_FRAMING_BYTES)
         name = name.lower()
         if name == b"expect":
             self.expects_continue = value.lower() == b"100-continue"
@@ -161,6 +204,8 @@
         """Called by the parser at the last byte of a request."""
         self.in_body = False
         self.expects_continue = False
+        if not self._cover_complete():
+            self._fail(RequestError.NO_MEMORY)
         parser = self._parser
         request = Request(
             parser.get_method(),
@@ -174,6 +219,10 @@
         self._reservation = None
         self.complete_requests.append(request)
 
+    def is_partial(self) -> bool:
+        """Return whether a request is being read."""
+        return self.in_head or self.in_body
+
     def is_busy(self) -> bool:
         """Return whether a request is being read or is ready to be served."""
         return bool(self.complete_requests) or self.in_head or self.in_body
@@ -184,23 +233,37 @@
         Drop the parser to break its reference cycle with this reader.
         """
         self._parser = None
-        self._body = BodyBuffer()
+        self._reset()
         if self._reservation is not None:
             self._reservation.close()
         for request in self.complete_requests:
             request.release()
+        self.complete_requests.clear()
 
     def partial_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers read so far of the current request."""
         return self._headers
 
-    def _reserve(self) -> bool:
-        """Reserve memory for what has been read of a body that is not whole."""
+    def _cover_complete(self) -> bool:
+        """Reserve memory for a request that is whole, until its call has ended."""
+        held = self._head_bytes + self._body_bytes + _REQUEST_OVERHEAD_BYTES
+        held += len(self._headers) * FIELD_OVERHEAD_BYTES
+        is_first = not self.reads_ahead and not self.complete_requests
+        if held <= _SMALL_BYTES and is_first and self._reservation is None:
+            return True  # the number of tasks limits these
+        return self._cover(held)
+
+    def _cover(self, size: int) -> bool:
         if self._memory is None:
             return True
         if self._reservation is None:
             self._reservation = self._memory.open()
-        return self._reservation.cover(self._body_bytes, step=1)
+        return self._reservation.cover(size, step=1)
+
+    def _count_parsed(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self.limits.header_bytes:
+            self._fail(RequestError.HEAD_TOO_LARGE)
 
     def _fail(self, error: RequestError) -> None:
         self.error = error
--- a/src/cyclamenvane/mesh/response.py
+++ b/src/cyclamenvane/mesh/response.py
@@ -8,12 +8,11 @@
 import httptools
 
 from .body_buffer import BodyBuffer
-from .heads import find_header
+from .heads import FIELD_OVERHEAD_BYTES, find_header
 
 __all__ = ["ResponseReader"]
 
 _OVERHEAD_PER_BODY_BYTE = 8  # of chunks that carry one byte each
-_HEADER_OVERHEAD_BYTES = 200  # of the objects of one header
 
 
 class ResponseReader:
@@ -119,7 +118,7 @@
         """Called by the parser for each header, and for each trailer."""
         if not self._head_complete and not self.complete:
             self.headers.append((name.lower(), value))
-            self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+            self._header_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of the head."""
