Hold a large frame once

Cause: msgpack's unpacker keeps a frame in a buffer that doubles, and copies its bytes out of it when it is whole, so a body is held up to three times while it counts once. Each stream also kept a buffer of 1 MB, the library's default.

The frames are the same as before. Streams keep 16 KB.

Hypothesis: any bytes in pieces of any size never make a reader hold more than its bound.

--- a/setup.py
+++ b/setup.py
@@ -47,6 +47,7 @@
     "mesh/directory",
     "mesh/dispatch",
     "mesh/forward",
+    "mesh/frame_reader",
     "mesh/frames",
     "mesh/gate",
     "mesh/heads",
--- a/src/cyclamenvane/mesh/frames.py
+++ b/src/cyclamenvane/mesh/frames.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import socket
-import struct
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +16,7 @@
 
 from .connection import DONT_WAIT, INITIAL_RECEIVE_BYTES, RECEIVE_BYTES, send_all
 from .errors import FrameError, NoMemoryError
+from .frame_reader import LONG_BYTES, LONG_BYTES_TAG, FrameReader
 from .memory import LARGE_BYTES
 from .watch import WaitResult, Watch
 
@@ -25,8 +26,7 @@
 __all__ = ["FrameStream"]
 
 _MAX_FRAME_BYTES = 128 * 1024 * 1024
-_LONG_BYTES = struct.Struct(">BI")  # the head of bytes that a large one has
-_LONG_BYTES_TAG = 0xC6
+_RESERVATION_STEP_BYTES = 16 * 1024
 
 
 class FrameStream:
@@ -43,13 +43,8 @@
     ) -> None:
         self.sock = sock
         self._max_frame_bytes = max_frame_bytes
-        self._reservation = reservation
-        self._reset()
-
-    def _reset(self) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=self._max_frame_bytes)
-        self._fed_bytes = 0
-        self._frames_end = 0  # where the last frame that was returned ends
+        self.reservation = reservation
+        self._reader = FrameReader(max_frame_bytes)
 
     def send(
         self, frame: list[Any], watch: Watch, until: timedelta
@@ -68,7 +63,7 @@
     def receive(self, watch: Watch, until: timedelta) -> tuple[WaitResult, list[Any]]:
         """Wait for a frame; raise OSError if the connection fails."""
         while True:
-            frame = self._next_frame()
+            frame = self._reader.next_frame()
             if frame is not None:
                 return WaitResult.READY, frame
             wait_result = watch.wait(self.sock.fileno(), until)
@@ -83,7 +78,7 @@
         connection is closed.
         """
         while True:
-            frame = self._next_frame()
+            frame = self._reader.next_frame()
             if frame is not None:
                 return frame
             try:
@@ -93,16 +88,26 @@
 
     def is_drained(self) -> bool:
         """Return whether nothing was received after the last frame."""
-        return self._frames_end == self._fed_bytes
+        return self._reader.is_drained()
 
     def free(self) -> None:
         """Release the memory of the last frame, once it is not used."""
-        if self._reservation is not None:
-            self._reservation.close()
+        if self.reservation is not None:
+            self.reservation.close()
+
+    def pin(self) -> None:
+        """Keep the memory of the last frame until `free`, as its request is served."""
+        if self.reservation is not None:
+            self.reservation.pinned = True
+
+    def expose(self, evict: Callable[[], None]) -> None:
+        """Let the next frame be evicted until it is whole."""
+        if self.reservation is not None:
+            self.reservation.expose(evict)
 
     def abandon(self) -> None:
         """Drop what was received of a frame that is not read on."""
-        self._reset()
+        self._reader = FrameReader(self._max_frame_bytes)
         self.free()
 
     def close(self) -> None:
@@ -115,31 +120,12 @@
     def _feed(self, data: bytes) -> None:
         if not data:
             raise FrameError("connection closed by the peer")
-        try:
-            self._unpacker.feed(data)
-            self._fed_bytes += len(data)
-            self._reserve()
-        except msgpack.BufferFull as error:
-            raise FrameError("frame too large") from error
-
-    def _reserve(self) -> None:
-        if self._reservation is not None:
-            if not self._reservation.cover(self._fed_bytes - self._frames_end):
+        self._reader.feed(data)
+        if self.reservation is not None:
+            held = self._reader.held_bytes
+            if not self.reservation.cover(held, _RESERVATION_STEP_BYTES):
                 raise NoMemoryError("no memory for a frame")
 
-    def _next_frame(self) -> list[Any] | None:
-        try:
-            frame = next(self._unpacker, None)
-        except (msgpack.UnpackException, ValueError) as error:
-            raise FrameError(f"invalid frame: {error}") from error
-        if frame is not None and not (isinstance(frame, list) and frame):
-            raise FrameError(f"invalid frame: {type(frame).__name__}")
-        if frame is not None:
-            start, self._frames_end = self._frames_end, self._unpacker.tell()
-            if self._frames_end - start >= LARGE_BYTES and self.is_drained():
-                self._reset()  # the unpacker keeps a buffer as large as the frame
-        return frame
-
 
 def _encode(frame: list[Any]) -> list[bytes]:
     """Return the encoded frame in pieces, without copies of large bytes."""
@@ -153,7 +139,7 @@
     pieces = [msgpack.Packer().pack_array_header(len(frame))]
     for number, item in enumerate(frame):
         if number in large:
-            pieces[-1] += _LONG_BYTES.pack(_LONG_BYTES_TAG, len(item))
+            pieces[-1] += LONG_BYTES.pack(LONG_BYTES_TAG, len(item))
             pieces += [item, b""]
         else:
             pieces[-1] += msgpack.packb(item)
--- a/tests/mesh/test_upload_memory.py
+++ b/tests/mesh/test_upload_memory.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
 
 import msgpack
@@ -156,15 +157,20 @@
     pieces = _encode(make_forward_request(body=BODY * 3).pack(1))
     data = b"".join(pieces)
     rest = len(pieces[-1]) if split else 0
+    first, last = data[: len(data) - rest], data[len(data) - rest :]
+    tracemalloc.start()
     with ThreadPoolExecutor(1) as executor:
         received = executor.submit(stream.receive_or_timeout)
-        far.sendall(data[: len(data) - rest])
+        far.sendall(first)
         if rest:
             time.sleep(0.1)
-            far.sendall(data[-rest:])
-        unpacker = stream._unpacker
+            far.sendall(last)
         assert received.result()
-    assert stream._unpacker is not unpacker and stream.is_drained()
+    del received
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert stream.is_drained()
+    assert kept < 3 * LARGE_BYTES and peak < 1.5 * len(data)
     assert memory._reserved > 3 * SIZE - LARGE_BYTES
     stream.free()
     assert not memory._reserved
