Let new callers in when idle connections use all descriptors

Callers saw: no ordinary request is served while a crowd keeps connections open and sends nothing; 583 descriptors of 400 with pipelined requests on all connections, so that other nodes, the store and probes can be cut off.

Cause: with the share of a listener used up, the new connection was closed, whatever the others did. The signals of pipelined requests, two descriptors for each connection, counted for nothing, nor did the number of tasks depend on the descriptors. One read could start more than 32 requests of a connection.

Change: a listener closes a parked connection for a new one, first one on which no request was ever served, and of these the one that was parked for longest. Signals count towards the share; without room, requests are served in turn, as before without descriptors. A metric and a log line (5 a second) count evictions. IDs in the log end after 256 characters.

Why: a crowd can always open connections; it cannot both keep them and keep others out, as those who use their connections go last.

--- a/setup.py
+++ b/setup.py
@@ -44,6 +44,7 @@
     "mesh/caller_server",
     "mesh/caller_session",
     "mesh/connection",
+    "mesh/descriptors",
     "mesh/directory",
     "mesh/dispatch",
     "mesh/forward",
--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -16,8 +16,9 @@
 
 import eliot
 
-from .connection import open_listener
-from .idle_poller import IdlePoller
+from .connection import open_listener, shut_down
+from .descriptors import DescriptorShare
+from .idle_poller import Evictable, IdlePoller
 from .model import Address
 
 __all__ = ["Acceptor", "Session"]
@@ -36,10 +37,14 @@
     """
 
     sock: socket.socket
+    served: bool  # whether a request has been served on it
 
     def run(self) -> timedelta | None:
         """Serve requests as they arrive."""
 
+    def expire(self) -> None:
+        """Handle the end of the time that `run` has returned."""
+
     def close(self) -> None:
         """Release the resources of the session."""
 
@@ -47,8 +52,10 @@
 class Acceptor:
     """Listener on one address.
 
-    `max_connections` limits the open connections. Excess connections are closed
-    without reading from them, so callers can safely resend elsewhere.
+    `descriptors` limits the open connections. If there are too many, one that is parked
+    is closed for a new one, first of all one on which no request was ever served.
+    Without one that is parked, the new one is closed without reading from it, so that
+    callers can safely resend elsewhere.
     """
 
     def __init__(
@@ -57,13 +64,15 @@
         open_session: Callable[[socket.socket], Session],
         executor: Executor,
         idle_poller: IdlePoller,
-        max_connections: int,
+        descriptors: DescriptorShare,
+        on_eviction: Callable[[], None] | None = None,
     ) -> None:
         self._listener = open_listener(address)
         self._open_session = open_session
         self._executor = executor
         self._idle_poller = idle_poller
-        self._max_connections = max_connections
+        self._descriptors = descriptors
+        self._on_eviction = on_eviction
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._closed = False
@@ -97,15 +106,25 @@
                 # Descriptors become free as connections close.
                 time.sleep(_ACCEPT_RETRY_DELAY.total_seconds())
             return None
-        with self._lock:
-            if len(self._open) < self._max_connections:
+        if self._descriptors.take(1) or self._evict_parked():
+            with self._lock:
                 self.accepted += 1
                 self._open.add(sock)
-                return sock
+            return sock
+        with self._lock:
             self.rejected += 1
         sock.close()
         return None
 
+    def _evict_parked(self) -> bool:
+        """Take the descriptor of a parked connection; return False if there is none."""
+        while self._idle_poller.evict(self):
+            if self._on_eviction is not None:
+                self._on_eviction()
+            if self._descriptors.take(1):
+                return True
+        return False
+
     def _unregister_accepting(self) -> bool:
         """Stop counting this task as accepting, unless it is the last one.
 
@@ -130,7 +149,7 @@
         self._closed = True
         with self._lock:
             for sock in (self._listener, *self._open):
-                _shut_down(sock)
+                shut_down(sock)
         self._listener.close()
 
     def count(self) -> int:
@@ -148,24 +167,31 @@
                 self._park(session, idle_until)
 
     def _park(self, session: Session, until: timedelta) -> None:
+        def expire() -> None:
+            # It may send a response, which the poller does not wait for.
+            self._executor.submit(self._expire, session)
+
+        def close() -> None:
+            self._close_session(session)
+
         self._idle_poller.park(
             session.sock,
             until,
             lambda: self._serve(session),
-            lambda: self._close_session(session),
+            expire,
+            Evictable(self, int(session.served), close),
         )
 
+    def _expire(self, session: Session) -> None:
+        try:
+            session.expire()
+        finally:
+            self._close_session(session)
+
     def _close_session(self, session: Session) -> None:
         session.close()
         with self._lock:
             self._open.discard(session.sock)
         self._idle_poller.remove(session.sock)
         session.sock.close()
-
-
-def _shut_down(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The peer has already closed the connection.
-        return
+        self._descriptors.give_back(1)
--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from ..clock import Clock
     from .configuration import CurrentConfiguration
+    from .descriptors import DescriptorShare
     from .memory import BodyMemory
     from .metric import Metrics
     from .report import CallReporter
@@ -41,6 +42,7 @@
         make_call: Callable[[Request, timedelta], Call | CallResult],
         executor: Executor,
         memory: BodyMemory,
+        descriptors: DescriptorShare,
         clock: Clock,
         metrics: Metrics,
         reporter: CallReporter,
@@ -51,6 +53,7 @@
         self.make_call = make_call
         self.executor = executor
         self.memory = memory
+        self.descriptors = descriptors
         self.clock = clock
         self.metrics = metrics
         self.reporter = reporter
--- a/src/cyclamenvane/mesh/caller_session.py
+++ b/src/cyclamenvane/mesh/caller_session.py
@@ -39,6 +39,7 @@
 # Callers that send requests back to back do so within this time.
 _NEXT_REQUEST_TIMEOUT = timedelta(milliseconds=250)
 _MAX_PIPELINED = 32  # concurrent requests of one connection
+_PIPELINE_DESCRIPTORS = 2  # of the signals of one connection
 _WRITE_TIMEOUT = timedelta(seconds=10)  # for callers that read slowly
 # A smaller response has been sent by the time that `send` returns.
 _UNSENT_BYTES = 16 * 1024
@@ -70,6 +71,7 @@
         self._caller_server = caller_server
         self._clock = caller_server.clock
         self.sock = sock
+        self.served = False
         set_receive_timeout(sock, _NEXT_REQUEST_TIMEOUT)
         current = caller_server.configuration.current()
         limits = current.limits if current else CallerLimits()
@@ -128,6 +130,9 @@
                 self._finish_sending()
             return stays_open
 
+    def expire(self) -> None:
+        """Do nothing: the caller has sent no request in time."""
+
     def close(self) -> None:
         """Cancel pipelined calls that are still served; release reserved memory.
 
@@ -139,6 +144,7 @@
             reporter.report_unanswered(self._unanswered, cause, self._error)
         if self._pipeline_signals is not None:
             self._pipeline_signals.cancelled.set()
+            self._caller_server.descriptors.give_back(_PIPELINE_DESCRIPTORS)
         for pending in self._pending:
             if pending.future.cancel():
                 pending.request.release()
@@ -214,7 +220,7 @@
         if signals is None:
             return
         done = signals.done
-        while self._reader.complete_requests:
+        while self._reader.complete_requests and len(self._pending) < _MAX_PIPELINED:
             request = self._reader.complete_requests.popleft()
             future = self._caller_server.executor.submit(
                 self._serve_pipelined, request, signals.cancelled
@@ -227,9 +233,13 @@
 
     def _open_signals(self) -> _PipelineSignals | None:
         """Return the signals; without descriptors, requests are served in turn."""
+        descriptors = self._caller_server.descriptors
+        if not descriptors.take(_PIPELINE_DESCRIPTORS):
+            return None
         try:
             self._pipeline_signals = _PipelineSignals(Signal(), Signal())
         except OSError as error:
+            descriptors.give_back(_PIPELINE_DESCRIPTORS)
             self._caller_server.reporter.report_no_descriptor(error)
         return self._pipeline_signals
 
@@ -275,6 +285,7 @@
         data = head + b"\r\n" + result.body
         self._send(data)
         self._unanswered -= 1
+        self.served = True
         if not keep_alive:
             self._last_response_bytes = len(data)
         return keep_alive
--- a/src/cyclamenvane/mesh/connection.py
+++ b/src/cyclamenvane/mesh/connection.py
@@ -33,6 +33,7 @@
     "send_rest",
     "send_to_caller",
     "set_receive_timeout",
+    "shut_down",
 ]
 
 RECEIVE_BYTES = 64 * 1024
@@ -155,6 +156,15 @@
         return
 
 
+def shut_down(sock: socket.socket, how: int = socket.SHUT_RDWR) -> None:
+    """Shut down a connection, which wakes the task that waits for it."""
+    try:
+        sock.shutdown(how)
+    except OSError:
+        # The connection has been closed.
+        return
+
+
 def send_rest(sock: socket.socket, data: bytes, sent: int) -> int:
     """Send what the socket takes of the data after the first `sent` bytes.
 
--- a/src/cyclamenvane/mesh/idle_poller.py
+++ b/src/cyclamenvane/mesh/idle_poller.py
@@ -23,9 +23,10 @@
     from ..clock import Clock
     from .stop_event import Sleep
 
-__all__ = ["IdlePoller"]
+__all__ = ["Evictable", "IdlePoller"]
 
 _SWEEP_INTERVAL = timedelta(seconds=1)  # maximum delay in closing an expired connection
+_MIN_SWEEP_INTERVAL = timedelta(milliseconds=100)
 _READABLE = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 # Maximum number of tasks that poll, to absorb bursts of requests; further tasks are
 # started on demand.
@@ -36,6 +37,18 @@
     resume: Callable[[], None]
     expire: Callable[[], None]
     until: timedelta
+    evictable: Evictable | None
+
+
+class Evictable(NamedTuple):
+    """How a parked connection is closed in favour of another one of its `owner`.
+
+    Those with the lowest `rank` go first, and of these the one parked for longest.
+    """
+
+    owner: object
+    rank: int
+    close: Callable[[], None]
 
 
 class IdlePoller:
@@ -64,20 +77,45 @@
         until: timedelta,
         resume: Callable[[], None],
         expire: Callable[[], None],
+        evictable: Evictable | None = None,
     ) -> None:
         """Call `resume` once the connection is readable, or `expire` after `until`.
 
-        `until` is in monotonic time.
+        `until` is in monotonic time. With `evictable`, it may be evicted before.
         """
         descriptor = sock.fileno()
+        parked = _ParkedConnection(resume, expire, until, evictable)
         with self._lock:
-            self._parked[descriptor] = _ParkedConnection(resume, expire, until)
+            self._parked[descriptor] = parked
             if descriptor in self._registered:
                 self._epoll.modify(descriptor, _READABLE)
             else:
                 self._registered.add(descriptor)
                 self._epoll.register(descriptor, _READABLE)
 
+    def evict(self, owner: object) -> bool:
+        """Close a parked connection of an owner; return False if it has none."""
+        with self._lock:
+            selected = self._select_evictable(owner)
+            if selected is None:
+                return False
+            descriptor, evictable = selected
+            del self._parked[descriptor]
+        evictable.close()
+        return True
+
+    def _select_evictable(self, owner: object) -> tuple[int, Evictable] | None:
+        selected: tuple[int, Evictable] | None = None
+        for descriptor, parked in self._parked.items():  # in the order of parking
+            evictable = parked.evictable
+            if evictable is None or evictable.owner is not owner:
+                continue
+            if selected is None or evictable.rank < selected[1].rank:
+                selected = descriptor, evictable
+                if not evictable.rank:
+                    break
+        return selected
+
     def remove(self, sock: socket.socket) -> None:
         """Unregister a connection that is about to be closed."""
         descriptor = sock.fileno()
@@ -91,8 +129,9 @@
         """Start polling tasks, and close expired connections until the node stops."""
         self._polling_tasks = 1
         self._executor.submit(self._poll)
-        while self._sleep(_SWEEP_INTERVAL):
-            self._expire_idle()
+        interval = _SWEEP_INTERVAL
+        while self._sleep(interval):
+            interval = self._expire_idle()
         self._stopped.set()
 
     def _poll(self) -> None:
@@ -123,11 +162,18 @@
             self._polling_tasks += 1
         return True
 
-    def _expire_idle(self) -> None:
+    def _expire_idle(self) -> timedelta:
+        """Expire connections; return the time until the next ones may expire."""
         now = self._clock.monotonic()
         with self._lock:
             expired = [item for item in self._parked.items() if item[1].until <= now]
             for descriptor, _ in expired:
                 del self._parked[descriptor]
+            next_until = min(
+                (each.until for each in self._parked.values()),
+                default=now + _SWEEP_INTERVAL,
+            )
         for _, parked in expired:
             parked.expire()
+        left = max(next_until - now, _MIN_SWEEP_INTERVAL)
+        return min(left, _SWEEP_INTERVAL)
--- a/src/cyclamenvane/mesh/log.py
+++ b/src/cyclamenvane/mesh/log.py
@@ -29,6 +29,9 @@
 _FAILURES_PER_S = 30.0
 # Requests without a known key; one caller may send many, for as long as it likes.
 _UNIDENTIFIED_PER_S = 5.0
+# Refusals of requests that are not whole, and evictions; a crowd causes many.
+_EVICTIONS_PER_S = 5.0
+_MAX_ID_CHARACTERS = 256  # callers choose their IDs
 _BURST_S = 3  # the bucket holds this many seconds of lines
 
 
@@ -99,6 +102,7 @@
         self._failure_bucket = _TokenBucket(_FAILURES_PER_S, clock)
         self._success_bucket = _TokenBucket(_SUCCESSES_PER_S, clock)
         self._unidentified_bucket = _TokenBucket(_UNIDENTIFIED_PER_S, clock)
+        self._eviction_bucket = _TokenBucket(_EVICTIONS_PER_S, clock)
 
     def should_log(self, attempt: bytes | None, failed: bool) -> bool:
         """Return whether to log a call; if so, its line counts for the rate limit."""
@@ -112,9 +116,13 @@
         """Return whether to log a request without a known key."""
         return self._unidentified_bucket.try_take()
 
+    def should_log_eviction(self) -> bool:
+        """Return whether to log what was refused unread or evicted."""
+        return self._eviction_bucket.try_take()
+
     def write(self, message_type: str, attempt: bytes | None, **fields: Any) -> None:
         """Write the line of a call that `should_log` has allowed."""
-        text = (attempt or b"").decode("latin-1")
+        text = (attempt or b"")[:_MAX_ID_CHARACTERS].decode("latin-1")
         eliot.log_message(message_type, id=text, **fields)
 
 
--- a/src/cyclamenvane/mesh/metric.py
+++ b/src/cyclamenvane/mesh/metric.py
@@ -58,6 +58,12 @@
             ["cause"],
             registry=registry,
         )
+        self._evictions = Counter(
+            "cyclamenvane_evictions",
+            "Messages and connections ended to free memory or descriptors, by cause",
+            ["cause"],
+            registry=registry,
+        )
         self._store_calls = Counter(
             "cyclamenvane_store_contacts",
             "Calls to the platform's store, by kind and outcome",
@@ -122,6 +128,10 @@
         """Count a request that was refused before it was read completely."""
         self._rejected_requests.labels(int(status)).inc()
 
+    def record_eviction(self, cause: str) -> None:
+        """Count what was ended since memory or descriptors ran short."""
+        self._evictions.labels(cause).inc()
+
     def record_unanswered_requests(self, cause: str, requests: int) -> None:
         """Count requests whose connection ended before their response was sent."""
         self._unanswered_requests.labels(cause).inc(requests)
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -20,6 +20,7 @@
 from .call_factory import make_call_factory
 from .caller_server import CallerServer
 from .configuration import CurrentConfiguration, report_configuration
+from .descriptors import limit_tasks, share_descriptors
 from .directory import PeerDirectory
 from .dispatch import Dispatcher
 from .gate import Gate
@@ -52,8 +53,6 @@
 _BODY_MEMORY_SHARE = 0.25  # of the process memory, for large request bodies
 _RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
 _RESPONSES_MEMORY_SHARE = 0.2  # for all responses that the target is sending
-_MAX_THREADS = 512  # about 100 KB each; further calls wait for a free one
-_LISTENER_DESCRIPTOR_SHARE = 0.35  # of the file descriptors, per listener
 _LEAVING_PROPAGATION_TIME = timedelta(milliseconds=500)  # for nodes to select others
 _DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 
@@ -71,7 +70,7 @@
         self._stop_event = StopEvent()
         call_log = CallLog(clock)
         self.metrics = Metrics()
-        self.executor = TaskPool(_MAX_THREADS)
+        self.executor = TaskPool(limit_tasks(settings.max_open_files))
         self.configuration = CurrentConfiguration(
             partial(report_configuration, self.metrics)
         )
@@ -277,6 +276,7 @@
             ).make_call,
             self.executor,
             self._body_memory,
+            share_descriptors(self.settings.max_open_files),
             self._clock,
             self.metrics,
             self._call_reporter,
@@ -284,7 +284,6 @@
 
     def _make_acceptors(self) -> tuple[Acceptor, ...]:
         settings = self.settings
-        max_connections = int(settings.max_open_files * _LISTENER_DESCRIPTOR_SHARE)
         self._peer_server = PeerServer(
             self.target_proxy,
             self._clock,
@@ -301,14 +300,16 @@
                 self.caller_server.open_session,
                 self.executor,
                 self._idle_poller,
-                max_connections,
+                self.caller_server.descriptors,
+                self._call_reporter.report_evicted_connection,
             ),
             Acceptor(
                 settings.peer_listener,
                 self._peer_server.open_session,
                 self.executor,
                 self._idle_poller,
-                max_connections,
+                share_descriptors(settings.max_open_files),
+                self._call_reporter.report_evicted_connection,
             ),
         )
 
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -116,6 +116,7 @@
         self, peer_server: PeerServer, sock: socket.socket, clock: Clock
     ) -> None:
         self.sock = sock
+        self.served = False
         set_receive_timeout(sock, _RECEIVE_TIMEOUT)
         self._peer_server = peer_server
         self._clock = clock
@@ -140,6 +141,7 @@
                 with self._peer_server.in_flight:
                     if not self._respond(frame):
                         return None
+                self.served = True
                 self._stream.free()
         except NoMemoryError:
             self._refuse_frame()
@@ -173,6 +175,9 @@
             return
         discard_until_end(self.sock, self._clock, now + _SEND_TIMEOUT)
 
+    def expire(self) -> None:
+        """Do nothing: the other node has stalled, or keeps the connection no more."""
+
     def close(self) -> None:
         """Release the memory of a frame that was not received whole."""
         self._stream.abandon()
--- a/src/cyclamenvane/mesh/report.py
+++ b/src/cyclamenvane/mesh/report.py
@@ -67,6 +67,12 @@
         if self._log.should_log(None, failed=True):
             self._log.write("caller:no_descriptor", None, error=repr(error))
 
+    def report_evicted_connection(self) -> None:
+        """Count a connection that was closed to free its descriptor."""
+        self._metrics.record_eviction("descriptors")
+        if self._log.should_log_eviction():
+            self._log.write("connection:evicted", None)
+
     def _should_log(self, attempt: bytes | None, result: CallResult) -> bool:
         if result.reason is Reason.UNIDENTIFIED:
             return self._log.should_log_unidentified()
--- a/tests/mesh/test_acceptor.py
+++ b/tests/mesh/test_acceptor.py
@@ -12,6 +12,7 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.acceptor import Acceptor
+from cyclamenvane.mesh.descriptors import DescriptorShare
 from cyclamenvane.mesh.idle_poller import IdlePoller
 from cyclamenvane.mesh.stop_event import StopEvent
 
@@ -20,6 +21,7 @@
     """Sends one byte immediately and another once `released` is set."""
 
     released = threading.Event()
+    served = False
 
     def __init__(self, sock):
         self.sock = sock
@@ -30,6 +32,9 @@
         self.sock.sendall(b"b")
         return None
 
+    def expire(self) -> None:
+        """Do nothing; the session is never parked."""
+
     def close(self) -> None:
         """Do nothing; the session holds no resources."""
 
@@ -40,7 +45,9 @@
     BlockingSession.released.clear()
     pool = ThreadPoolExecutor(64)
     idle_poller = IdlePoller(SystemClock(), pool, StopEvent())
-    acceptor = Acceptor(address, BlockingSession, pool, idle_poller, max_connections=30)
+    acceptor = Acceptor(
+        address, BlockingSession, pool, idle_poller, DescriptorShare(30)
+    )
     acceptor.start()
     yield acceptor, address
     BlockingSession.released.set()
--- a/tests/mesh/test_idle_poller.py
+++ b/tests/mesh/test_idle_poller.py
@@ -6,13 +6,14 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
+from functools import partial
 
 import pytest
 from mesh_harness import wait_until
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh import idle_poller
-from cyclamenvane.mesh.idle_poller import IdlePoller
+from cyclamenvane.mesh.idle_poller import Evictable, IdlePoller
 from cyclamenvane.mesh.stop_event import StopEvent
 
 _LATER = timedelta(seconds=60)
@@ -93,3 +94,19 @@
     poller.park(other, SystemClock().monotonic() + _LATER, served.set, lambda: None)
     its_peer.sendall(b"a")
     assert served.wait(10) and not resumed.is_set()
+
+
+def test_longest_parked_connection_of_the_lowest_rank_is_evicted(poller, pairs):
+    """Guards against new connections that displace those in use."""
+    evicted = []
+    until = SystemClock().monotonic() + _LATER
+
+    def park(number: int, owner: str, rank: int) -> None:
+        close = partial(evicted.append, number)
+        sock = pairs[number][0]
+        poller.park(sock, until, list, list, Evictable(owner, rank, close))
+
+    for number, (owner, rank) in enumerate([("a", 1), ("b", 0), ("a", 0), ("a", 0)]):
+        park(number, owner, rank)
+    assert [poller.evict("a") for _ in range(4)] == [True, True, True, False]
+    assert evicted == [2, 3, 0] and poller.count() == 1
