Count what peers make a node hold against one budget

Callers saw: nodes ended over their memory by clients that send many fields, or requests and bodies behind an unanswered one, or ask for large responses and do not read them; and uploads refused while others that had stopped kept the memory.

Cause: large request bodies had a limit of their own, and responses another, only while they were received. Heads, small bodies behind other requests, the objects of requests, results from other nodes and responses that wait for their caller counted for nothing, nor did what the kernel holds of a connection that is not read, up to 32 MB each by the machine's setting.

Change: one budget, a third of the memory, which each holder draws on: what is read of a request, whole requests until their calls have ended, responses from the target's first byte until the caller has read them, frames, and what the kernel may hold of a connection that is not read. With the limit reached, messages without progress for a second are ended, the largest first: requests get 503 and have not been run, responses are cut. Without such ones the newcomer is refused; small ones have an overdraft of a quarter. Requests whose calls are running are never ended. The kernel's buffers for callers are 64 and 192 KB. A response may take as long as its caller reads 256 KB/s, since the kernel no longer takes the end of it.

Why: the sum is bounded whatever a client sends, and a client that holds most and makes least progress loses first.

--- a/src/cyclamenvane/mesh/acceptor.py
+++ b/src/cyclamenvane/mesh/acceptor.py
@@ -66,8 +66,9 @@
         idle_poller: IdlePoller,
         descriptors: DescriptorShare,
         on_eviction: Callable[[], None] | None = None,
+        limits_buffers: bool = False,
     ) -> None:
-        self._listener = open_listener(address)
+        self._listener = open_listener(address, limits_buffers)
         self._open_session = open_session
         self._executor = executor
         self._idle_poller = idle_poller
--- a/src/cyclamenvane/mesh/call.py
+++ b/src/cyclamenvane/mesh/call.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from ..accounts import Account
+    from .memory import Reservation
 
 __all__ = ["Call", "CallResult"]
 
@@ -68,7 +69,10 @@
 
 @dataclass(init=False)
 class CallResult:
-    """The outcome of a call: the target's response, or a status set by the node."""
+    """The outcome of a call: the target's response, or a status set by the node.
+
+    A large response holds memory until the result is released.
+    """
 
     status: int
     head: bytes
@@ -79,6 +83,7 @@
     service: str
     node: str
     sends: int
+    reservation: Reservation | None
 
     def __init__(
         self,
@@ -91,7 +96,9 @@
         service: str = "",
         node: str = "",
         sends: int = 0,
+        reservation: Reservation | None = None,
     ) -> None:
+        self.reservation = reservation
         self.status = status
         self.head = head
         self.body = body
@@ -102,6 +109,12 @@
         self.node = node
         self.sends = sends
 
+    def release(self) -> None:
+        """Drop the response and release its memory, once it is not used."""
+        if self.reservation is not None:
+            self.body = b""
+            self.reservation.close()
+
     @property
     def from_target(self) -> bool:
         """Whether the response comes from a target."""
--- a/src/cyclamenvane/mesh/caller_server.py
+++ b/src/cyclamenvane/mesh/caller_server.py
@@ -24,7 +24,7 @@
     from ..clock import Clock
     from .configuration import CurrentConfiguration
     from .descriptors import DescriptorShare
-    from .memory import BodyMemory
+    from .memory import MemoryBudget
     from .metric import Metrics
     from .report import CallReporter
 
@@ -41,7 +41,7 @@
         header_names: HeaderNames,
         make_call: Callable[[Request, timedelta], Call | CallResult],
         executor: Executor,
-        memory: BodyMemory,
+        memory: MemoryBudget,
         descriptors: DescriptorShare,
         clock: Clock,
         metrics: Metrics,
--- a/src/cyclamenvane/mesh/connection.py
+++ b/src/cyclamenvane/mesh/connection.py
@@ -19,13 +19,17 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from .memory import Reservation
     from .model import Address
 
 __all__ = [
     "DONT_WAIT",
     "INITIAL_RECEIVE_BYTES",
     "RECEIVE_BYTES",
+    "UNREAD_BYTES",
+    "discard_available",
     "discard_until_end",
+    "has_data",
     "is_idle",
     "open_connection",
     "open_listener",
@@ -43,6 +47,11 @@
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 DONT_WAIT = int(socket.MSG_DONTWAIT)
 _MILLISECOND = timedelta(milliseconds=1)
+# Of the kernel, for what a caller has sent and is not read, and for a response that it
+# does not read. With less than a segment of 64 KB, sending waits for each one.
+_KERNEL_RECEIVE_BYTES, _KERNEL_SEND_BYTES = 32 * 1024, 96 * 1024
+# The kernel takes twice as much, and a segment beyond it.
+UNREAD_BYTES = 4 * _KERNEL_RECEIVE_BYTES
 _BACKLOG = 1024  # connections that may arrive while no task accepts
 
 
@@ -72,15 +81,26 @@
     return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
-def open_listener(address: Address) -> socket.socket:
-    """Return a socket listening on an address; raise OSError on failure."""
+def open_listener(address: Address, limits_buffers: bool = False) -> socket.socket:
+    """Return a socket listening on an address; raise OSError on failure.
+
+    With `limits_buffers`, the kernel holds little for each connection.
+    """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if limits_buffers:
+        _limit_buffers(listener)
     listener.bind(address)
     listener.listen(_BACKLOG)
     return listener
 
 
+def _limit_buffers(listener: socket.socket) -> None:
+    # Connections inherit them. By themselves they grow as far as the machine allows.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_RECEIVE_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _KERNEL_SEND_BYTES)
+
+
 def set_receive_timeout(sock: socket.socket, timeout: timedelta) -> None:
     """Make blocking receives raise BlockingIOError after `timeout`."""
     microseconds = timeout // timedelta(microseconds=1)
@@ -99,6 +119,18 @@
     return False
 
 
+def has_data(sock: socket.socket) -> bool:
+    """Return whether there is data to read, or the end of the connection.
+
+    Raise OSError if the connection has failed, as an error is reported only once.
+    """
+    try:
+        sock.recv(1, _PEEK_FLAGS)
+    except BlockingIOError:
+        return False
+    return True
+
+
 def send_all(
     sock: socket.socket, data: bytes, watch: Watch, until: timedelta
 ) -> tuple[WaitResult, int]:
@@ -121,18 +153,26 @@
 
 
 def send_to_caller(
-    sock: socket.socket, data: bytes, watch: Watch, until: timedelta
+    sock: socket.socket,
+    data: bytes,
+    watch: Watch,
+    until: timedelta,
+    max_stall: timedelta,
+    reservation: Reservation | None = None,
 ) -> None:
     """Send a response whole; raise OSError if the connection fails or time runs out.
 
-    Requests that the caller sends meanwhile stay unread.
+    The caller may read nothing for `max_stall`. Requests that it sends meanwhile stay
+    unread.
     """
     sent = 0
     while sent < len(data):
         try:
             sent += send_rest(sock, data, sent)
+            if reservation is not None:
+                reservation.record_progress(sent)
         except BlockingIOError:
-            if not watch.wait_caller_writable(until):
+            if not watch.wait_caller_writable(until, max_stall):
                 # What follows would be read as the rest of this response.
                 raise TimeoutError("the caller reads too slowly") from None
 
@@ -156,6 +196,16 @@
         return
 
 
+def discard_available(sock: socket.socket) -> bool:
+    """Discard what has arrived; return False at the end of the connection."""
+    try:
+        while sock.recv(RECEIVE_BYTES, DONT_WAIT):
+            pass
+        return False
+    except BlockingIOError:
+        return True
+
+
 def shut_down(sock: socket.socket, how: int = socket.SHUT_RDWR) -> None:
     """Shut down a connection, which wakes the task that waits for it."""
     try:
--- a/src/cyclamenvane/mesh/dispatch.py
+++ b/src/cyclamenvane/mesh/dispatch.py
@@ -164,6 +164,7 @@
                     service=service,
                     node=peer.record.node,
                     sends=attempts.sends,
+                    reservation=result.reservation,
                 )
         attempts.report(result)
         result = attempts.last_unknown or result
--- a/src/cyclamenvane/mesh/forward.py
+++ b/src/cyclamenvane/mesh/forward.py
@@ -16,7 +16,9 @@
 from enum import IntEnum
 from typing import Any
 
+from .frame_kind import FrameKind
 from .load import NO_LOAD, Load, ServiceUsage
+from .memory import Reservation
 from .rank import Rank
 
 __all__ = [
@@ -35,20 +37,6 @@
 _LOAD_FIELDS = 5  # of a result without the extension
 
 
-class FrameKind(IntEnum):
-    """The content of a frame between nodes."""
-
-    FORWARD = 1
-    RESULT = 2
-    HELLO = 3
-    SNAPSHOT = 4
-    FOLLOW = 5
-    UPDATES = 6
-    QUARANTINE = 7
-    TOKENS = 8
-    CONFIRM = 9
-
-
 class Verdict(IntEnum):
     """The outcome of a call that was forwarded."""
 
@@ -89,9 +77,9 @@
     `head` lacks the header lines that the last hop adds. `remaining` is the time
     left until the deadline, `max_wait` the time the call may be queued. `crashes` is
     the number of targets that crashed while they ran it, at least 1 if one did during a
-    recent call of the same request. `extended` is whether the
-    sender reads the extension of a result; nodes of an earlier release do not. `number`
-    is that of the exchange, which its result has as well; 0 from an earlier release.
+    recent call of the same request. `extended` is whether the sender reads the
+    extension of a result; nodes of an earlier release do not. `number` is that of the
+    exchange, which its result has as well; 0 from an earlier release.
     """
 
     service: str
@@ -195,6 +183,7 @@
     target may admit a call that was not run. `usage` is what the call and its nested
     calls asked of services other than its own. `reports_usage` is false if the node of
     the target does not report it. `number` is that of the request.
+    A large response holds memory until the result is released.
     """
 
     verdict: Verdict
@@ -208,6 +197,7 @@
     usage: tuple[ServiceUsage, ...]
     reports_usage: bool
     number: int
+    reservation: Reservation | None
 
     def __init__(
         self,
@@ -222,7 +212,9 @@
         usage: tuple[ServiceUsage, ...] = (),
         reports_usage: bool = True,
         number: int = 0,
+        reservation: Reservation | None = None,
     ) -> None:
+        self.reservation = reservation
         self.verdict = verdict
         self.reason = reason
         self.status = status
@@ -235,6 +227,11 @@
         self.reports_usage = reports_usage
         self.number = number
 
+    def release(self) -> None:
+        """Release the memory of the response, once it is not used."""
+        if self.reservation is not None:
+            self.reservation.close()
+
     def has_crashed_target(self) -> bool:
         """Return whether the target crashed while it ran the call.
 
@@ -257,6 +254,7 @@
             load,
             usage,
             self.reports_usage,
+            reservation=self.reservation,
         )
 
     def pack(self, extended: bool, number: int = 0) -> list[Any]:
--- a/src/cyclamenvane/mesh/gauges.py
+++ b/src/cyclamenvane/mesh/gauges.py
@@ -15,6 +15,7 @@
     from .directory import PeerDirectory
     from .gate import Gate
     from .idle_poller import IdlePoller
+    from .memory import MemoryBudget
     from .target_proxy import TargetProxy
 
 __all__ = ["measure_node"]
@@ -29,6 +30,7 @@
     idle_poller: IdlePoller,
     acceptors: Mapping[str, Acceptor],
     shedder: LoadShedder,
+    memory: MemoryBudget,
 ) -> dict[str, float]:
     """Return the values of the gauges by name; `acceptors` are named by their peers."""
     load = gate.load()
@@ -49,6 +51,8 @@
         "configuration_version": configuration.version(),
         **_measure_accounts(configuration, confirmation),
         "parked_connections": idle_poller.count(),
+        "message_bytes": memory.reserved(),
+        "message_bytes_limit": memory.limit(),
         "nodes_known": len(directory.peers()) + 1,
     }
     for name, acceptor in acceptors.items():
--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -22,6 +22,8 @@
     "find_remaining_time",
     "is_rejection",
     "parse_destination",
+    "parse_keep_alive",
+    "render_error_head",
     "render_request_head",
     "render_response_head",
 ]
@@ -50,6 +52,8 @@
 # Far above any time-out of a route. A duration cannot hold every number.
 _MAX_REMAINING_DIGITS = 9
 _MAX_REMAINING = timedelta(days=10)
+_MAX_KEEP_ALIVE = timedelta(days=1)
+_MAX_KEEP_ALIVE_DIGITS = 9
 _HOST = b"\r\nhost: "
 
 
@@ -154,6 +158,28 @@
     return b"\r\n".join(lines) + b"\r\n"
 
 
+def render_error_head(status: int, retry_after: timedelta | None) -> bytes:
+    """Return the head of a response of the node's own, without its empty line."""
+    phrase = HTTPStatus(status).phrase
+    head = f"HTTP/1.1 {int(status)} {phrase}\r\nContent-Length: 0\r\n"
+    if retry_after is not None:
+        # Fractional seconds let callers resend as soon as there is capacity.
+        head += f"Retry-After: {retry_after.total_seconds():.3f}\r\n"
+    return head.encode()
+
+
+def parse_keep_alive(value: bytes) -> timedelta | None:
+    """Return the idle timeout in a Keep-Alive header; None without a valid one."""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        digits = number.strip()
+        if name.lower() == b"timeout" and digits.isdigit():
+            if len(digits) > _MAX_KEEP_ALIVE_DIGITS:
+                return _MAX_KEEP_ALIVE
+            return min(timedelta(seconds=int(digits)), _MAX_KEEP_ALIVE)
+    return None
+
+
 def _render_headers(
     headers: Iterable[tuple[bytes, bytes]], excluded: tuple[bytes, ...]
 ) -> list[bytes]:
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -12,7 +13,7 @@
 
 from .body_buffer import BodyBuffer
 from .heads import FIELD_OVERHEAD_BYTES, Headers, find_header
-from .memory import BodyMemory, Reservation
+from .memory import MemoryBudget, Reservation
 from .model import CallerLimits
 
 __all__ = ["Request", "RequestError", "RequestReader"]
@@ -79,12 +80,19 @@
 class RequestReader:
     """Parses the requests of one connection.
 
-    What it holds takes its memory from `memory`, if it is given.
+    What it holds takes its memory from `memory`, if it is given. `evict` is called to
+    end a request that is not whole and makes no progress, if memory runs short.
     """
 
-    def __init__(self, limits: CallerLimits, memory: BodyMemory | None = None) -> None:
+    def __init__(
+        self,
+        limits: CallerLimits,
+        memory: MemoryBudget | None = None,
+        evict: Callable[[], None] | None = None,
+    ) -> None:
         self.limits = limits
         self._memory = memory
+        self._evict = evict
         self._reservation: Reservation | None = None
         self.complete_requests: deque[Request] = deque()
         self.error: RequestError | None = None
@@ -110,7 +118,7 @@
             elif begun == 1 and was_idle and self.in_head:
                 self._count_partial(len(data.lstrip(b"\r\n")), 0)
             # Else the data begins with the end of another request.
-            if self.error is None and not self._cover(self.held_bytes):
+            if self.error is None and not self._cover(self.held_bytes, self._evict):
                 self.error = RequestError.NO_MEMORY
         return self.error
 
@@ -227,6 +235,10 @@
         """Return whether a request is being read or is ready to be served."""
         return bool(self.complete_requests) or self.in_head or self.in_body
 
+    def is_evicted(self) -> bool:
+        """Return whether the request that is being read is to end, for its memory."""
+        return self._reservation is not None and self._reservation.evicted
+
     def release(self) -> None:
         """Release the memory of requests that are not served.
 
@@ -251,13 +263,16 @@
         is_first = not self.reads_ahead and not self.complete_requests
         if held <= _SMALL_BYTES and is_first and self._reservation is None:
             return True  # the number of tasks limits these
-        return self._cover(held)
+        covered = self._cover(held, None)
+        if self._reservation is not None:
+            self._reservation.pinned = True
+        return covered
 
-    def _cover(self, size: int) -> bool:
+    def _cover(self, size: int, evict: Callable[[], None] | None) -> bool:
         if self._memory is None:
             return True
         if self._reservation is None:
-            self._reservation = self._memory.open()
+            self._reservation = self._memory.open(evict)
         return self._reservation.cover(size, step=1)
 
     def _count_parsed(self, size: int) -> None:
--- a/src/cyclamenvane/mesh/model.py
+++ b/src/cyclamenvane/mesh/model.py
@@ -170,6 +170,7 @@
     configuration in force was confirmed within `revocation_time`. Within any
     `quota_window`, all nodes together may let in the calls that an account's rate and
     burst allow, `quota_overshoot` times as many more, and `quota_tolerance` calls.
+    `message_memory_share` is the share of the memory for requests and responses.
     """
 
     node: str
@@ -196,3 +197,4 @@
     quota_window: timedelta = timedelta(seconds=5)
     quota_overshoot: float = 0.0
     quota_tolerance: float = 0.0
+    message_memory_share: float = 1 / 3
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -29,7 +29,7 @@
 from .levels import RouteLevels
 from .local_record import make_local_record
 from .log import CallLog
-from .memory import BodyMemory, ResponseMemory
+from .memory import make_budget
 from .metric import Metrics
 from .model import Address, MeshSettings, NodeRecord
 from .peer_pool import PeerPool
@@ -39,7 +39,7 @@
 from .rank import ActiveCalls
 from .registration import Registration, TargetState
 from .report import CallReporter
-from .shutdown import plan_shutdown
+from .shutdown import DRAIN_POLL_INTERVAL, LEAVING_PROPAGATION_TIME, plan_shutdown
 from .stop_event import StopEvent
 from .store_client import StoreClient
 from .target_proxy import TargetProxy
@@ -50,11 +50,7 @@
 
 __all__ = ["MeshNode"]
 
-_BODY_MEMORY_SHARE = 0.25  # of the process memory, for large request bodies
 _RESPONSE_MEMORY_SHARE = 0.1  # of the process memory, for the body of one response
-_RESPONSES_MEMORY_SHARE = 0.2  # for all responses that the target is sending
-_LEAVING_PROPAGATION_TIME = timedelta(milliseconds=500)  # for nodes to select others
-_DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 
 
 class MeshNode:
@@ -96,7 +92,10 @@
         self.directory = PeerDirectory(settings.node, clock, settings.drain_timeout)
         self._levels = RouteLevels(clock)
         self._active_calls = ActiveCalls()
-        self._peers = PeerPool(clock)
+        self.memory = make_budget(
+            settings, clock, self._call_reporter.report_evicted_message
+        )
+        self._peers = PeerPool(clock, self.memory)
         self._budget = RetryBudget(*retry_bounds(settings), clock)
         self.shedder = LoadShedder(*retry_bounds(settings), clock)
         self.gate = Gate(clock)
@@ -104,10 +103,9 @@
             settings.target,
             adapter.header_names,
             int(settings.memory_bytes * _RESPONSE_MEMORY_SHARE),
-            ResponseMemory(int(settings.memory_bytes * _RESPONSES_MEMORY_SHARE)),
+            self.memory,
             clock,
         )
-        self._body_memory = BodyMemory(int(settings.memory_bytes * _BODY_MEMORY_SHARE))
         self.target_proxy = TargetProxy(
             self.registration,
             self.gate,
@@ -205,15 +203,15 @@
         shutdown = self.dispatcher.shutdown = plan_shutdown(now, grace_period)
         self._stopping = self.caller_server.draining = True
         eliot.log_message("node:stopping")
-        delay = shutdown.roots_until - now - _LEAVING_PROPAGATION_TIME
+        delay = shutdown.roots_until - now - LEAVING_PROPAGATION_TIME
         self._stop_event(max(delay, timedelta()))
         self.target_proxy.leaving = True
         self.account_rates.close()
         self.store_client.relay.close()
-        self._stop_event(_LEAVING_PROPAGATION_TIME)
+        self._stop_event(LEAVING_PROPAGATION_TIME)
         self.target_proxy.closed = True
         while self._clock.monotonic() < shutdown.exits_at:
-            self._stop_event(_DRAIN_POLL_INTERVAL)
+            self._stop_event(DRAIN_POLL_INTERVAL)
             if (
                 not self.caller_server.in_flight.count()
                 and not self._peer_server.in_flight.count()
@@ -275,7 +273,7 @@
                 self.confirmation.is_recent,
             ).make_call,
             self.executor,
-            self._body_memory,
+            self.memory,
             share_descriptors(self.settings.max_open_files),
             self._clock,
             self.metrics,
@@ -283,7 +281,6 @@
         )
 
     def _make_acceptors(self) -> tuple[Acceptor, ...]:
-        settings = self.settings
         self._peer_server = PeerServer(
             self.target_proxy,
             self._clock,
@@ -292,23 +289,24 @@
             self._get_peer_address,
             self.configuration.version,
             self.account_rates.answer,
-            self._body_memory,
+            self.memory,
         )
         return (
             Acceptor(
-                settings.caller_listener,
+                self.settings.caller_listener,
                 self.caller_server.open_session,
                 self.executor,
                 self._idle_poller,
                 self.caller_server.descriptors,
                 self._call_reporter.report_evicted_connection,
+                limits_buffers=True,
             ),
             Acceptor(
-                settings.peer_listener,
+                self.settings.peer_listener,
                 self._peer_server.open_session,
                 self.executor,
                 self._idle_poller,
-                share_descriptors(settings.max_open_files),
+                share_descriptors(self.settings.max_open_files),
                 self._call_reporter.report_evicted_connection,
             ),
         )
@@ -346,6 +344,7 @@
             self._idle_poller,
             acceptors,
             self.shedder,
+            self.memory,
         )
         for name, value in gauges.items():
             self.metrics.set_gauge(name, value)
--- a/src/cyclamenvane/mesh/peer_pool.py
+++ b/src/cyclamenvane/mesh/peer_pool.py
@@ -10,13 +10,14 @@
 from typing import TYPE_CHECKING, Any
 
 from .connection import is_idle, open_connection
-from .errors import FrameError
+from .errors import FrameError, NoMemoryError
 from .forward import ForwardRequest, ForwardResult, Reason, Verdict
 from .frames import FrameStream
 from .watch import WaitResult, Watch
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from .memory import MemoryBudget
     from .model import Address
 
 __all__ = ["PeerPool"]
@@ -39,10 +40,14 @@
 
 
 class PeerPool:
-    """Pool of idle connections to other nodes, by address."""
+    """Pool of idle connections to other nodes, by address.
 
-    def __init__(self, clock: Clock) -> None:
+    Large results take their memory from `memory`, if it is given.
+    """
+
+    def __init__(self, clock: Clock, memory: MemoryBudget | None = None) -> None:
         self._clock = clock
+        self._memory = memory
         self._idle: dict[Address, deque[_IdleConnection]] = {}
         self._numbers = itertools.count(1)
         self._lock = threading.Lock()
@@ -62,6 +67,8 @@
             reason = Reason.NO_ROOM if lacks_descriptors else Reason.UNREACHABLE
             return ForwardResult(Verdict.NOT_RUN, reason, detail=str(error))
         number, sent = next(self._numbers), False
+        reservation = self._memory.open() if self._memory is not None else None
+        stream.reservation = reservation
         try:
             wait_result, sent = stream.send(request.pack(number), watch, until)
             if wait_result is WaitResult.READY:
@@ -74,16 +81,26 @@
                     raise FrameError(f"result {result.number} of request {number}")
                 if not sent and result.verdict is not Verdict.NOT_RUN:
                     raise FrameError("result of a request that was not sent")
+                stream.reservation = None
+                if reservation is not None and reservation.held:
+                    result.reservation = reservation
                 if sent and result.number:
                     self._store_idle(address, stream)
                 else:
                     stream.close()
                 return result
         except (OSError, ValueError, TypeError, OverflowError) as error:
+            stream.free()
             stream.close()
+            if isinstance(error, NoMemoryError):
+                # The other node is sound, and the target has run the request.
+                return ForwardResult(
+                    Verdict.UNKNOWN, Reason.NO_ROOM, detail="no memory for the result"
+                )
             # A request is run only once all of it has been read.
             verdict = Verdict.UNKNOWN if sent else Verdict.NOT_RUN
             return ForwardResult(verdict, Reason.UNREACHABLE, detail=repr(error))
+        stream.free()
         stream.close()
         caller_gone = wait_result is WaitResult.CALLER_GONE
         reason = Reason.CALLER_GONE if caller_gone else Reason.TIMED_OUT
@@ -161,7 +178,6 @@
         if not stream.is_drained():
             stream.close()
             return
-        stream.free()
         now = self._clock.monotonic()
         excess = []
         with self._lock:
--- a/src/cyclamenvane/mesh/peer_server.py
+++ b/src/cyclamenvane/mesh/peer_server.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from .connection import discard_until_end, set_receive_timeout
+from .connection import discard_until_end, set_receive_timeout, shut_down
 from .errors import FrameError, NoMemoryError
 from .forward import ForwardRequest, ForwardResult, FrameKind, Reason, Verdict
 from .frames import FrameStream
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from .memory import BodyMemory
+    from .memory import MemoryBudget
     from .model import Address
     from .peer_sync import PeerSync
     from .relay import Relay
@@ -50,7 +50,7 @@
         find_address: Callable[[socket.socket], Address],
         get_version: Callable[[], int],
         answer_tokens: Callable[[list[Any], Watch], list[Any]],
-        memory: BodyMemory,
+        memory: MemoryBudget,
     ) -> None:
         self.memory = memory
         self.load = target_proxy.load
@@ -67,21 +67,24 @@
         """Return a session for a connection opened by another node."""
         return PeerSession(self, sock, self._clock)
 
+    def handle_forward(
+        self, frame: list[Any], watch: Watch, sock: socket.socket
+    ) -> tuple[ForwardRequest, ForwardResult]:
+        """Execute the request in a frame; raises FrameError if it is invalid."""
+        try:
+            request = ForwardRequest.unpack(frame)
+        except (ValueError, TypeError, OverflowError) as error:
+            raise FrameError(f"invalid forward frame: {error}") from error
+        if request.version > self._get_version():
+            address = self._find_address(sock)
+            self._peer_sync.add_newer_version(request.version, address)
+        return request, self._execute(request, watch)
+
     def handle_frame(
         self, frame: list[Any], watch: Watch, sock: socket.socket
     ) -> list[Any]:
         """Return the response to a frame; raises FrameError if it is invalid."""
         kind = frame[0]
-        if kind == FrameKind.FORWARD:
-            try:
-                request = ForwardRequest.unpack(frame)
-            except (ValueError, TypeError, OverflowError) as error:
-                raise FrameError(f"invalid forward frame: {error}") from error
-            if request.version > self._get_version():
-                address = self._find_address(sock)
-                self._peer_sync.add_newer_version(request.version, address)
-            result = self._execute(request, watch)
-            return result.pack(request.extended, request.number)
         if kind == FrameKind.TOKENS:
             return self._answer_tokens(frame, watch)
         if kind == FrameKind.FOLLOW:
@@ -120,7 +123,7 @@
         set_receive_timeout(sock, _RECEIVE_TIMEOUT)
         self._peer_server = peer_server
         self._clock = clock
-        reservation = peer_server.memory.open()
+        reservation = peer_server.memory.open(self._evict)
         self._stream = FrameStream(sock, reservation=reservation)
         self._watch = watch_socket(clock, sock)
 
@@ -138,11 +141,13 @@
                 if resumed and not self._watch.is_caller_connected():
                     return None
                 resumed = False
+                self._stream.pin()
                 with self._peer_server.in_flight:
                     if not self._respond(frame):
                         return None
                 self.served = True
                 self._stream.free()
+                self._stream.expose(self._evict)
         except NoMemoryError:
             self._refuse_frame()
             return None
@@ -151,10 +156,25 @@
             return None
 
     def _respond(self, frame: list[Any]) -> bool:
-        response = self._peer_server.handle_frame(frame, self._watch, self.sock)
-        deadline = self._clock.monotonic() + _SEND_TIMEOUT
+        if frame[0] != FrameKind.FORWARD:
+            server = self._peer_server
+            return self._send(server.handle_frame(frame, self._watch, self.sock))
+        request, result = self._peer_server.handle_forward(
+            frame, self._watch, self.sock
+        )
+        try:
+            # The request has been sent to the target, and its body is not used again.
+            request.body = b""
+            frame.clear()
+            self._stream.free()
+            return self._send(result.pack(request.extended, request.number))
+        finally:
+            result.release()
+
+    def _send(self, response: list[Any]) -> bool:
         if self._watch.caller_gone:
             return False
+        deadline = self._clock.monotonic() + _SEND_TIMEOUT
         return self._stream.send(response, self._watch, deadline)[1]
 
     def _refuse_frame(self) -> None:
@@ -178,6 +198,10 @@
     def expire(self) -> None:
         """Do nothing: the other node has stalled, or keeps the connection no more."""
 
+    def _evict(self) -> None:
+        """End a frame that is not whole and makes no progress."""
+        shut_down(self.sock)
+
     def close(self) -> None:
         """Release the memory of a frame that was not received whole."""
         self._stream.abandon()
--- a/src/cyclamenvane/mesh/report.py
+++ b/src/cyclamenvane/mesh/report.py
@@ -67,12 +67,26 @@
         if self._log.should_log(None, failed=True):
             self._log.write("caller:no_descriptor", None, error=repr(error))
 
+    def report_evicted_message(self, held: int) -> None:
+        """Count a message that was ended to free its memory; `held` is in bytes."""
+        self._metrics.record_eviction("memory")
+        if self._log.should_log_eviction():
+            self._log.write("message:evicted", None, held_bytes=held)
+
     def report_evicted_connection(self) -> None:
         """Count a connection that was closed to free its descriptor."""
         self._metrics.record_eviction("descriptors")
         if self._log.should_log_eviction():
             self._log.write("connection:evicted", None)
 
+    def report_refused_request(self, status: int, held: int) -> None:
+        """Count a request that was refused before it was whole."""
+        self._metrics.record_rejected_request(status)
+        if self._log.should_log_eviction():
+            self._log.write(
+                "request:refused", None, status=int(status), held_bytes=held
+            )
+
     def _should_log(self, attempt: bytes | None, result: CallResult) -> bool:
         if result.reason is Reason.UNIDENTIFIED:
             return self._log.should_log_unidentified()
--- a/src/cyclamenvane/mesh/shutdown.py
+++ b/src/cyclamenvane/mesh/shutdown.py
@@ -17,7 +17,15 @@
 if TYPE_CHECKING:
     from .call import Call
 
-__all__ = ["Shutdown", "plan_shutdown"]
+__all__ = [
+    "DRAIN_POLL_INTERVAL",
+    "LEAVING_PROPAGATION_TIME",
+    "Shutdown",
+    "plan_shutdown",
+]
+
+LEAVING_PROPAGATION_TIME = timedelta(milliseconds=500)  # for nodes to select others
+DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 
 # Callers use other nodes after two failed readiness probes, sent once a second.
 _READINESS_PROPAGATION_TIME = timedelta(seconds=2.5)
--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -18,9 +18,21 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from .connection import DONT_WAIT, RECEIVE_BYTES, is_idle, open_connection, send_rest
-from .heads import HeaderNames, Headers, find_header, is_rejection
-from .memory import LARGE_BYTES, Reservation, ResponseMemory
+from .connection import (
+    DONT_WAIT,
+    RECEIVE_BYTES,
+    is_idle,
+    open_connection,
+    send_rest,
+)
+from .heads import (
+    HeaderNames,
+    Headers,
+    find_header,
+    is_rejection,
+    parse_keep_alive,
+)
+from .memory import LARGE_BYTES, MemoryBudget, Reservation
 from .response import ResponseReader
 from .watch import WaitResult, Watch
 
@@ -41,8 +53,6 @@
 # Idle time up to which a connection may be reused without a check: much shorter
 # than any idle timeout.
 _UNCHECKED_IDLE = timedelta(milliseconds=200)
-_MAX_KEEP_ALIVE = timedelta(days=1)
-_MAX_KEEP_ALIVE_DIGITS = 9  # a duration cannot hold every number
 _KEEP_ALIVE_FRACTION = 0.5  # of the advertised idle timeout
 # A connection with more of them is closed, as it cannot remember them all.
 _MAX_REJECTED_ATTEMPTS = 64
@@ -60,13 +70,17 @@
 
 @dataclass(init=False)
 class ExchangeResult:
-    """Result of an exchange, with the response if one was received."""
+    """Result of an exchange, with the response if one was received.
+
+    A large response holds memory until its reservation is closed.
+    """
 
     outcome: ExchangeOutcome
     status: int
     headers: Headers
     body: bytes
     detail: str
+    reservation: Reservation | None
 
     def __init__(
         self,
@@ -75,7 +89,9 @@
         headers: Headers = (),
         body: bytes = b"",
         detail: str = "",
+        reservation: Reservation | None = None,
     ) -> None:
+        self.reservation = reservation
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -104,7 +120,7 @@
         address: Address,
         header_names: HeaderNames,
         max_body_bytes: int,
-        memory: ResponseMemory,
+        memory: MemoryBudget,
         clock: Clock,
     ) -> None:
         self._memory = memory
@@ -151,12 +167,14 @@
             self._max_body_bytes,
         )
         reservation = self._memory.open()
-        keep = False
+        keep = held = False
         try:
             result, sent_whole = self._transfer(
                 sock, _split(head, body), reader, reservation, watch, until
             )
             if result.outcome is ExchangeOutcome.ANSWERED:
+                held = reservation.held > 0
+                result.reservation = reservation if held else None
                 keep = sent_whole and reader.keep_alive and attempt is not None
                 if is_rejection(result.status, result.headers, self._header_names):
                     connection.rejected.add(hash(attempt))
@@ -167,7 +185,8 @@
         finally:
             # Breaks the reference cycle, so the reader and the body are freed at once.
             reader.release()
-            reservation.close()
+            if not held:
+                reservation.close()
             if keep:
                 self._store_idle(connection, reader.headers)
             else:
@@ -255,8 +274,8 @@
                 return "ended early"
         if reader.malformed:
             return "not a response"
-        if not reader.complete and not reservation.cover(reader.held_bytes):
-            return f"responses hold {self._memory.reserved()} bytes"
+        if not reservation.cover(reader.held_bytes):
+            return f"messages hold {self._memory.reserved()} bytes"
         return ""
 
     def _make_matcher(
@@ -298,7 +317,9 @@
         max_idle = _MAX_IDLE
         keep_alive = find_header(headers, b"keep-alive")
         if keep_alive is not None:
-            max_idle = _parse_keep_alive(keep_alive) or max_idle
+            timeout = parse_keep_alive(keep_alive)
+            if timeout:
+                max_idle = timeout * _KEEP_ALIVE_FRACTION
         now = self._clock.monotonic()
         idle.since, idle.until = now, now + max_idle
         expired = []
@@ -315,19 +336,6 @@
     return (head, body) if len(body) >= LARGE_BYTES else (head + body,)
 
 
-def _parse_keep_alive(value: bytes) -> timedelta | None:
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        digits = number.strip()
-        if name.lower() == b"timeout" and digits.isdigit():
-            if len(digits) > _MAX_KEEP_ALIVE_DIGITS:
-                return _MAX_KEEP_ALIVE
-            return min(timedelta(seconds=int(digits)), _MAX_KEEP_ALIVE) * (
-                _KEEP_ALIVE_FRACTION
-            )
-    return None
-
-
 def _interrupted_exchange(wait_result: WaitResult) -> ExchangeResult:
     if wait_result is WaitResult.CALLER_GONE:
         return ExchangeResult(ExchangeOutcome.CALLER_GONE)
--- a/src/cyclamenvane/mesh/verdict.py
+++ b/src/cyclamenvane/mesh/verdict.py
@@ -28,7 +28,10 @@
         return ForwardResult(Verdict.UNKNOWN, Reason.TIMED_OUT)
     if exchange.outcome is ExchangeOutcome.BROKEN:
         return ForwardResult(Verdict.UNKNOWN, Reason.BROKEN, detail=exchange.detail)
-    return _classify_response(exchange, header_names)
+    result = _classify_response(exchange, header_names)
+    if exchange.reservation is not None and result.reservation is None:
+        exchange.reservation.close()  # the response is not passed on
+    return result
 
 
 def _classify_response(
@@ -44,4 +47,10 @@
     if 200 <= status < 300 and not signed:
         return ForwardResult(Verdict.UNKNOWN, Reason.BROKEN, detail="no signature")
     head = render_response_head(status, headers, len(exchange.body))
-    return ForwardResult(Verdict.ANSWERED, status=status, head=head, body=exchange.body)
+    return ForwardResult(
+        Verdict.ANSWERED,
+        status=status,
+        head=head,
+        body=exchange.body,
+        reservation=exchange.reservation,
+    )
--- a/src/cyclamenvane/mesh/watch.py
+++ b/src/cyclamenvane/mesh/watch.py
@@ -96,14 +96,14 @@
             else:
                 self._poll.unregister(descriptor)
 
-    def wait_caller_writable(self, until: timedelta) -> bool:
+    def wait_caller_writable(self, until: timedelta, timeout: timedelta) -> bool:
         """Wait until data can be sent to the caller; return False on timeout.
 
         Requests that the caller sends meanwhile do not end the wait.
         """
         poll = select.poll()
         poll.register(self._caller_descriptor, select.POLLOUT)
-        left = (until - self._clock.monotonic()) / _MILLISECOND
+        left = min(until - self._clock.monotonic(), timeout) / _MILLISECOND
         return bool(poll.poll(max(0, int(left) + 1)))
 
     def _wait(self, descriptor: int, until: timedelta) -> WaitResult:
--- a/src/cyclamenvane/platform/settings.py
+++ b/src/cyclamenvane/platform/settings.py
@@ -25,6 +25,9 @@
 _MIN_WINDOW_S = 0.1
 _MAX_WINDOW_S = 3600.0
 
+# The rest of the memory is for the interpreter, the tasks and the configuration.
+_MIN_MEMORY_SHARE, _MAX_MEMORY_SHARE = 0.05, 0.6
+
 _T = TypeVar("_T")
 
 
@@ -93,6 +96,7 @@
         max_open_files=fields.read("limits.maxOpenFiles", int, 0),
         **_read_bounds(fields),
         first_start=fields.values.get("bootstrap") == "true",
+        **_read_own_limits(fields),
     )
     if fields.problems:
         return Error(tuple(fields.problems))
@@ -142,6 +146,14 @@
     }
 
 
+def _read_own_limits(fields: _Fields) -> dict:
+    """Return the limits of our own that the file has; the platform sets none."""
+    name = "limits.messageMemoryShare"
+    if name not in fields.values:
+        return {}
+    return {"message_memory_share": fields.read(name, _parse_memory_share, 0.0)}
+
+
 def _read_zones(values: Mapping[str, str]) -> tuple[str, ...]:
     prefix = "zones."
     return tuple(name[len(prefix) :] for name in values if name.startswith(prefix))
@@ -176,6 +188,13 @@
     return amount
 
 
+def _parse_memory_share(text: str) -> float:
+    share = float(text)
+    if not _MIN_MEMORY_SHARE <= share <= _MAX_MEMORY_SHARE:
+        raise ValueError(f"expected {_MIN_MEMORY_SHARE} to {_MAX_MEMORY_SHARE}")
+    return share
+
+
 def _parse_flag(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError("expected true or false")
--- a/tests/mesh/test_cut_response.py
+++ b/tests/mesh/test_cut_response.py
@@ -11,7 +11,7 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.forward import ForwardResult, Verdict
-from cyclamenvane.mesh.memory import ResponseMemory
+from cyclamenvane.mesh.memory import MemoryBudget
 from cyclamenvane.mesh.peer_pool import PeerPool
 from cyclamenvane.mesh.upstream import ExchangeOutcome, Upstream
 from cyclamenvane.mesh.watch import watch_no_caller
@@ -38,7 +38,7 @@
 def exchange(address, method: bytes = b"GET"):
     """Send one call to a target; return its result."""
     clock = SystemClock()
-    memory = ResponseMemory(1_000_000)
+    memory = MemoryBudget(1_000_000, SystemClock())
     upstream = Upstream(address, HEADERS, 1_000_000, memory, clock)
     head = method + b" /items/ HTTP/1.1\r\nX-Attempt-Id: a1\r\n\r\n"
     until = clock.monotonic() + timedelta(seconds=5)
--- a/tests/mesh/test_duplicate_response.py
+++ b/tests/mesh/test_duplicate_response.py
@@ -11,7 +11,7 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.heads import find_header
-from cyclamenvane.mesh.memory import ResponseMemory
+from cyclamenvane.mesh.memory import MemoryBudget
 from cyclamenvane.mesh.upstream import Upstream
 from cyclamenvane.mesh.watch import watch_no_caller
 from cyclamenvane.platform.headers import HEADERS
@@ -128,7 +128,7 @@
 
 
 def make_upstream(target) -> Upstream:
-    memory = ResponseMemory(1_000_000)
+    memory = MemoryBudget(1_000_000, SystemClock())
     return Upstream(target.address, HEADERS, 1_000_000, memory, SystemClock())
 
 
--- a/tests/mesh/test_partial_request.py
+++ b/tests/mesh/test_partial_request.py
@@ -1,12 +1,16 @@
-"""Requests that arrive in pieces, or whose framing has no end."""
+"""Requests that arrive slowly, stop short of their end, or come ahead of answers."""
 
 from __future__ import annotations
 
+import select
+import socket
+import struct
 import time
 
 import pytest
-from mesh_harness import make_request
+from mesh_harness import POST, make_request, route, wait_until
 
+UPLOAD = make_request("/orders/1", "POST", b"u" * 1000, "u1")
 CHUNKED = make_request("/orders/1", "POST", attempt="c1")[:-2] + (
     b"Transfer-Encoding: chunked\r\n\r\n"
 )
@@ -19,6 +23,23 @@
     return received
 
 
+def count_parked(member) -> int:
+    return member.node._idle_poller.count()
+
+
+@pytest.mark.parametrize("part", [UPLOAD[:40], UPLOAD[:-1]], ids=["head", "body"])
+def test_stalled_request_is_refused_at_its_deadline(pair, part):
+    entry, remote = pair
+    remote.mesh.configure(
+        route("post", "/orders/", **POST), headerTimeoutS=1.5, idleTimeoutS=1.5
+    )
+    remote.mesh.wait_until_converged()
+    with entry.connect() as sock:
+        sock.sendall(part)
+        assert read_all(sock).startswith(b"HTTP/1.1 408 ")
+    assert not remote.target.executed
+
+
 def test_pieces_of_a_head_within_the_limit_are_accepted(pair):
     """Guards against a head that counts twice if it comes in pieces."""
     entry, _ = pair
@@ -85,3 +106,78 @@
                 sock.sendall(b"1;" + b"e" * 10_000 + b"\r\nx\r\n")
                 time.sleep(0.001)
     assert not remote.target.executed
+
+
+def test_more_requests_ahead_than_are_served_at_once(pair):
+    """Guards against requests behind others that are dropped or out of order."""
+    entry, remote = pair
+    remote.target.delay = 0.05
+    requests = [make_request(attempt=f"p{number}") for number in range(100)]
+    received = b""
+    with entry.connect() as sock:
+        sock.sendall(b"".join(requests))
+        while received.count(b"whole") < 100:
+            data = sock.recv(65536)
+            assert data, received.count(b"whole")
+            received += data
+    positions = [received.index(b"s-p%d\r" % number) for number in range(100)]
+    assert positions == sorted(positions)
+    assert len(remote.target.executed) == 100
+
+
+def test_requests_ahead_are_discarded_without_memory(pair):
+    """Guards against what the kernel holds while a node does not read."""
+    entry, remote = pair
+    remote.target.delay = 0.5
+    entry.node.memory._limit = 1000
+    with entry.connect() as sock:
+        sock.sendall(make_request(attempt="first"))
+        wait_until(lambda: remote.target.executed)
+        ahead = b"".join(make_request(attempt=f"a{n}") for n in range(500))
+        sock.sendall(ahead)
+        received = read_all(sock)
+    assert received.count(b"whole") == 1
+    assert b"Connection: close" in received
+    assert len(remote.target.executed) == 1
+    wait_until(lambda: not entry.node.memory.reserved())
+
+
+def test_new_connection_displaces_an_idle_one(pair):
+    """Guards against idle connections that turn callers away."""
+    entry, _ = pair
+    used = entry.connect()
+    used.sendall(make_request())
+    assert used.recv(65536).startswith(b"HTTP/1.1 200")
+    entry.node.caller_server.descriptors._limit = 5
+    idle = [entry.connect() for _ in range(4)]
+    wait_until(lambda: count_parked(entry) >= 5)
+    assert entry.call().status == 200
+    closed, *_ = select.select(idle, [], [], 5)
+    assert len(closed) == 1 and closed[0].recv(1) == b""
+    used.sendall(make_request())
+    assert used.recv(65536).startswith(b"HTTP/1.1 200")
+    for sock in (used, *idle):
+        sock.close()
+    wait_until(lambda: not entry.node.caller_server.descriptors.taken())
+
+
+def test_kernel_holds_little_for_a_connection(pair):
+    """Guards against buffers that grow with what a caller sends ahead."""
+    entry, _ = pair
+    with entry.connect() as sock:
+        sock.sendall(make_request())
+        sock.recv(65536)
+        (accepted,) = entry.node._acceptors[0]._open
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            assert accepted.getsockopt(socket.SOL_SOCKET, option) <= 256 * 1024
+
+
+def test_caller_that_resets_while_its_refusal_waits_leaves_nothing(pair):
+    entry, _ = pair
+    with entry.connect() as sock:
+        sock.sendall(b"GET /" + b"x" * 60_000)
+        assert sock.recv(65536).startswith(b"HTTP/1.1 431 ")
+        value = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+    wait_until(lambda: not entry.node._acceptors[0].count())
+    assert not entry.node.memory.reserved()
--- a/tests/mesh/test_peer_server.py
+++ b/tests/mesh/test_peer_server.py
@@ -26,4 +26,6 @@
     """Guards against a process that ends on a number that it cannot convert."""
     server = mesh.add().node._peer_server
     with socket.socket() as sock, pytest.raises(FrameError):
-        server.handle_frame(frame, make_watch(), sock)
+        handlers = {FrameKind.FORWARD: server.handle_forward}
+        handle = handlers.get(frame[0], server.handle_frame)
+        handle(frame, make_watch(), sock)
--- a/tests/mesh/test_reader_bounds.py
+++ b/tests/mesh/test_reader_bounds.py
@@ -6,12 +6,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from manual_clock import ManualClock
 
 from cyclamenvane.mesh.errors import FrameError
 from cyclamenvane.mesh.frame_reader import FrameReader
 from cyclamenvane.mesh.frames import _encode
 from cyclamenvane.mesh.heads import FIELD_OVERHEAD_BYTES
-from cyclamenvane.mesh.memory import LARGE_BYTES, BodyMemory
+from cyclamenvane.mesh.memory import LARGE_BYTES, MemoryBudget
 from cyclamenvane.mesh.message import RequestReader
 from cyclamenvane.mesh.model import CallerLimits
 from cyclamenvane.mesh.response import ResponseReader
@@ -65,15 +66,15 @@
 
 @given(MESSAGES, SIZES, st.integers(500, 20_000))
 def test_request_reader_stays_within_its_bound_and_the_budget(data, sizes, limit):
-    memory = BodyMemory(limit)
+    memory = MemoryBudget(limit, ManualClock())
     reader = RequestReader(LIMITS, memory)
     for piece in cut(data, sizes):
         if reader.feed(piece) is not None:
             break
         assert reader.held_bytes <= MAX_HELD
-        assert memory._reserved <= limit * 1.25
+        assert memory.reserved() <= limit * 1.25
         if reader.is_partial():
-            assert memory._reserved >= reader.held_bytes - sum(
+            assert memory.reserved() >= reader.held_bytes - sum(
                 each.reservation.held
                 for each in reader.complete_requests
                 if each.reservation
@@ -81,7 +82,7 @@
         for request in reader.complete_requests:
             assert len(request.body) <= LIMITS.body_bytes
     reader.release()
-    assert not memory._reserved
+    assert not memory.reserved()
 
 
 @given(MESSAGES, SIZES)
--- a/tests/mesh/test_second_refusal.py
+++ b/tests/mesh/test_second_refusal.py
@@ -12,7 +12,7 @@
 
 from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.heads import find_header
-from cyclamenvane.mesh.memory import ResponseMemory
+from cyclamenvane.mesh.memory import MemoryBudget
 from cyclamenvane.mesh.upstream import ExchangeOutcome, Upstream
 from cyclamenvane.mesh.watch import watch_no_caller
 from cyclamenvane.platform.headers import HEADERS
@@ -124,7 +124,7 @@
 
 
 def make_upstream(address) -> Upstream:
-    memory = ResponseMemory(1_000_000)
+    memory = MemoryBudget(1_000_000, SystemClock())
     return Upstream(address, HEADERS, 1_000_000, memory, SystemClock())
 
 
--- a/tests/mesh/test_upload_memory.py
+++ b/tests/mesh/test_upload_memory.py
@@ -12,8 +12,9 @@
 from builders import make_forward_request
 from mesh_harness import POST, make_request, route, wait_until
 
+from cyclamenvane.clock import SystemClock
 from cyclamenvane.mesh.frames import FrameStream, _encode
-from cyclamenvane.mesh.memory import LARGE_BYTES, BodyMemory
+from cyclamenvane.mesh.memory import LARGE_BYTES, MemoryBudget
 from cyclamenvane.mesh.message import RequestError, RequestReader
 from cyclamenvane.mesh.model import CallerLimits
 
@@ -26,11 +27,11 @@
 
 
 def limit_memory(member, size: int) -> None:
-    member.node._body_memory._limit = size
+    member.node.memory._limit = size
 
 
 def is_free(member) -> bool:
-    return not member.node._body_memory._reserved
+    return not member.node.memory.reserved()
 
 
 @pytest.mark.parametrize("local", [True, False])
@@ -138,21 +139,21 @@
 
 def test_many_small_bodies_that_are_not_whole_count_for_the_limit():
     """Guards against callers that send bodies below any step, and stall."""
-    memory = BodyMemory(SIZE)
+    memory = MemoryBudget(SIZE, SystemClock())
     readers = [RequestReader(CallerLimits(), memory) for _ in range(30)]
     data = make_request("/orders/", "POST", BODY[:60_000])[:50_000]
     errors = [each.feed(data) for each in readers]
     assert errors.count(RequestError.NO_MEMORY) >= 9
     for each in readers:
         each.release()
-    assert not memory._reserved
+    assert not memory.reserved()
 
 
 @pytest.mark.parametrize("split", [False, True])
 def test_stream_keeps_no_buffer_of_a_large_frame(split):
     """Guards against buffers of the size of the largest frame of each stream."""
     near, far = socket.socketpair()
-    memory = BodyMemory(10 * SIZE)
+    memory = MemoryBudget(10 * SIZE, SystemClock())
     stream = FrameStream(near, reservation=memory.open())
     pieces = _encode(make_forward_request(body=BODY * 3).pack(1))
     data = b"".join(pieces)
@@ -171,9 +172,9 @@
     tracemalloc.stop()
     assert stream.is_drained()
     assert kept < 3 * LARGE_BYTES and peak < 1.5 * len(data)
-    assert memory._reserved > 3 * SIZE - LARGE_BYTES
+    assert memory.reserved() > 3 * SIZE - LARGE_BYTES
     stream.free()
-    assert not memory._reserved
+    assert not memory.reserved()
     far.close()
     stream.close()
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -128,3 +128,13 @@
     path.write_text(TEXT.replace("service=stock\n", ""))
     assert tester.execute(str(path)) == 1
     assert "service: missing" in tester.io.fetch_error()
+
+
+def test_share_of_the_memory_for_messages_is_optional_and_checked():
+    """Guards against a share that leaves no memory for anything else."""
+    assert parse_mesh_settings(TEXT).ok.message_memory_share == pytest.approx(1 / 3)
+    line = "limits.messageMemoryShare="
+    assert parse_mesh_settings(TEXT + line + "0.25\n").ok.message_memory_share == 0.25
+    for value in ("0", "0.9", "nan", "all"):
+        (problem,) = parse_mesh_settings(TEXT + line + value + "\n").error
+        assert problem.startswith("limits.messageMemoryShare: invalid value")
