Read stalled requests without a task

Callers saw: no ordinary request is served while 650 clients stay connected with a part of a body.

Cause: a task served a connection from the first byte of a request on, and waited for the rest until the deadline that the client names. With all tasks waiting, nothing was accepted.

Change: a request that has not arrived after 250 ms waits in the poller, as idle connections do, and is read on by the task that finds its connection readable. It is refused with 408 at its deadline, or once nothing has come for the idle timeout. One that is ended for its memory gets 503.

Why: a client that does not send takes a descriptor and what it has sent, which are bounded and can be taken back, and no task.

--- a/src/cyclamenvane/mesh/caller_session.py
+++ b/src/cyclamenvane/mesh/caller_session.py
@@ -41,6 +41,8 @@
 # How long a task waits for the next request before it parks the connection.
 # Callers that send requests back to back do so within this time.
 _NEXT_REQUEST_TIMEOUT = timedelta(milliseconds=250)
+# How much time is left for a request that is waited for without a task.
+_MIN_PARKED = timedelta(seconds=1)
 _WRITE_TIMEOUT = timedelta(seconds=10)  # for callers that read nothing
 _MIN_READ_BYTES_PER_S = 256 * 1024  # of large responses
 # A smaller response has been sent by the time that `send` returns.
@@ -65,6 +67,7 @@
         self._reading_since: timedelta | None = None  # of a request that is not whole
         self._last_read = timedelta()
         self._lingers_until: timedelta | None = None  # after the last response
+        self._stalls = False  # the request that is being read
         self._watch = Watch(self._clock, sock.fileno(), self._read_ahead)
         self._pipeline = CallerPipeline(caller_server, self._watch)
         self._unread = caller_server.memory.open()  # held by the kernel
@@ -93,6 +96,8 @@
                 resumed = False
                 request = self._next_request()
                 if request is None:
+                    if self._stalls:
+                        return self._read_deadline()[0]
                     return self._finish_sending()
                 if not self._serve(request):
                     return self._finish_sending()
@@ -153,7 +158,11 @@
         self._unread.close()
 
     def _next_request(self) -> Request | None:
-        """Return the next request; None if the connection is to close."""
+        """Return the next request; None if it stalls, or if the connection is to close.
+
+        A request that stalls is read on once the connection is readable again.
+        """
+        self._stalls = False
         reader = self._reader
         if reader.complete_requests:
             # Whole at its first read, as most requests are.
@@ -168,11 +177,18 @@
                 reader.expects_continue = False
                 self._send(_CONTINUE)
             deadline, timeout_status = self._read_deadline()
-            remaining = deadline - self._clock.monotonic()
-            if remaining <= timedelta() or not self._watch.wait_readable(remaining):
-                if timeout_status is not None:
+            now = self._clock.monotonic()
+            remaining = timeout = deadline - now
+            self._stalls = remaining >= _MIN_PARKED
+            if self._stalls:
+                # One that arrives in many small pieces does not keep its task either.
+                timeout = self._reading_since + _NEXT_REQUEST_TIMEOUT - now
+                timeout = max(timeout, timedelta())
+            if remaining <= timedelta() or not self._watch.wait_readable(timeout):
+                if not self._stalls and timeout_status is not None:
                     self._reject(timeout_status)
                 return None
+            self._stalls = False
             data = self.sock.recv(RECEIVE_BYTES, DONT_WAIT)
             if data:
                 self._last_read = self._clock.monotonic()
--- a/tests/mesh/test_partial_request.py
+++ b/tests/mesh/test_partial_request.py
@@ -27,6 +27,35 @@
     return member.node._idle_poller.count()
 
 
+def test_stalled_request_occupies_no_task(pair):
+    """Guards against clients that keep all tasks by requests that do not arrive."""
+    entry, remote = pair
+    tasks = entry.node.executor.count()
+    opened = [entry.connect() for _ in range(150)]
+    for number, sock in enumerate(opened):
+        sock.sendall(UPLOAD[: len(UPLOAD) - 1 - number])
+    wait_until(lambda: count_parked(entry) >= 150)
+    wait_until(lambda: entry.node.executor.count() < tasks + 50)
+    assert entry.call().status == 200
+    for number, sock in enumerate(opened):
+        with sock:
+            sock.sendall(UPLOAD[len(UPLOAD) - 1 - number :])
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+    assert len(remote.target.executed) == 151
+
+
+def test_request_in_small_pieces_is_read_without_a_task_of_its_own(pair):
+    """Guards against clients that keep a task by sending a byte now and then."""
+    entry, _ = pair
+    with entry.connect() as sock:
+        sock.sendall(UPLOAD[:-8])
+        for position in range(len(UPLOAD) - 8, len(UPLOAD)):
+            wait_until(lambda: count_parked(entry) == 1)
+            sock.sendall(UPLOAD[position : position + 1])
+            time.sleep(0.05)
+        assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("part", [UPLOAD[:40], UPLOAD[:-1]], ids=["head", "body"])
 def test_stalled_request_is_refused_at_its_deadline(pair, part):
     entry, remote = pair
@@ -142,6 +171,27 @@
     wait_until(lambda: not entry.node.memory.reserved())
 
 
+def test_evicted_request_is_refused_as_not_run(pair):
+    """Guards against a connection that is closed without a word."""
+    entry, remote = pair
+    entry.node.memory._limit = 15_000
+    upload = make_request("/orders/1", "POST", b"u" * 10_000)
+    with entry.connect() as sock, entry.connect() as other:
+        sock.sendall(upload[:-1])
+        wait_until(lambda: count_parked(entry) == 1)
+        time.sleep(1.1)
+        other.sendall(upload[:-1])
+        time.sleep(0.1)
+        other.sendall(upload[-1:])
+        assert other.recv(65536).startswith(b"HTTP/1.1 200")
+        refusal = read_all(sock)
+    assert refusal.startswith(b"HTTP/1.1 503 ") and b"Retry-After" in refusal
+    assert len(remote.target.executed) == 1
+    registry = entry.node.metrics.registry
+    name = "cyclamenvane_evictions_total"
+    assert registry.get_sample_value(name, {"cause": "memory"}) == 1
+
+
 def test_new_connection_displaces_an_idle_one(pair):
     """Guards against idle connections that turn callers away."""
     entry, _ = pair
