Take a response for cut if a reset ends it during an upload

The server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. Sending got it, or a peek for data, which took the error for "not idle". The next read then returned the end of the stream, as after a clean close, and a body without a length ends there.

Change: an end that is seen after a failure to send is no clean one, and a peek raises the error. Once a response has begun, reading goes before sending, so a close that is clean is seen as one. On the hop between nodes the frames have lengths; there and at the store nothing ends with its connection.

--- a/src/cyclamenvane/mesh/upstream.py
+++ b/src/cyclamenvane/mesh/upstream.py
@@ -21,6 +21,7 @@
 from .connection import (
     DONT_WAIT,
     RECEIVE_BYTES,
+    has_data,
     is_idle,
     open_connection,
     send_rest,
@@ -229,12 +230,13 @@
         """Send a request and read its response; return whether all was sent.
 
         Sending goes on until the response is whole: what arrives before it may belong
-        to another request.
+        to another request. Once it has begun, reading goes first, since an end that is
+        seen after a failure to send is no clean one.
         """
         number, sent, refused = 0, 0, False
         while not reader.complete:
             sending = number < len(pieces) and not refused
-            if sending:
+            if sending and not (reader.begun and has_data(sock)):
                 try:
                     sent += send_rest(sock, pieces[number], sent)
                     if sent == len(pieces[number]):
@@ -249,8 +251,8 @@
             wait_result = watch.wait(sock.fileno(), until, write=sending)
             if wait_result is not WaitResult.READY:
                 return _interrupted_exchange(wait_result), False
-            if not (sending and is_idle(sock)):
-                problem = self._receive(sock, reader, reservation)
+            if not sending or has_data(sock):
+                problem = self._receive(sock, reader, reservation, not refused)
                 if problem:
                     return ExchangeResult(ExchangeOutcome.BROKEN, detail=problem), False
         result = ExchangeResult(
@@ -263,13 +265,18 @@
         sock: socket.socket,
         reader: ResponseReader,
         reservation: Reservation,
+        sound: bool,
     ) -> str:
-        """Read what has arrived of a response; return why it is broken, if it is."""
+        """Read what has arrived of a response; return why it is broken, if it is.
+
+        `sound` is whether sending has not failed, so that an end is a clean one.
+        """
         data = sock.recv(RECEIVE_BYTES, DONT_WAIT)
         if data:
             reader.feed(data)
         else:
-            reader.feed_eof()
+            if sound:
+                reader.feed_eof()
             if not reader.complete:
                 return "ended early"
         if reader.malformed:
