--- a/src/cyclamenvane/mesh/admin.py
+++ b/src/cyclamenvane/mesh/admin.py
@@ -25,6 +25,7 @@
 __all__ = ["AdminApplication", "AdminProtocol", "AdminServer"]
 
 _THREADS = 2  # a heartbeat and a readiness probe at the same time
+_MAX_HEAD_BYTES = 16 * 1024
 _MAX_HEARTBEAT_BYTES = 64 * 1024
 _POLL_INTERVAL_S = 1.0  # `run` returns at most this long after `close`
 
@@ -115,7 +116,13 @@
         listen = " ".join(f"{host}:{port}" for host, port in addresses)
         self._sockets: dict[int, Any] = {}
         self._server = waitress.create_server(
-            application, map=self._sockets, listen=listen, threads=_THREADS, ident=None
+            application,
+            map=self._sockets,
+            listen=listen,
+            threads=_THREADS,
+            ident=None,
+            max_request_header_size=_MAX_HEAD_BYTES,
+            max_request_body_size=_MAX_HEARTBEAT_BYTES,
         )
         self._closed = threading.Event()
 
