--- a/tests/crowd/crowd_site.py
+++ b/tests/crowd/crowd_site.py
@@ -42,7 +42,13 @@
     """A daemon with its target; its memory and descriptors are sampled."""
 
     def __init__(
-        self, mesh: Mesh, number: int, service: str, directory: Path, max_files: int
+        self,
+        mesh: Mesh,
+        number: int,
+        service: str,
+        directory: Path,
+        max_files: int,
+        memory_mb: int,
     ) -> None:
         self.host = f"{NETWORK}.{10 + number}"
         self.address = self.host, _PORTS.caller
@@ -54,7 +60,7 @@
         fields = {"name": f"n-{number}", "zone": "a", "host": self.host}
         fields |= {"service": service, "strict": "false"}
         settings = SETTINGS.format(ports=_PORTS, target=target, store=store, **fields)
-        settings += f"limits.memoryLimitMb={MEMORY_LIMIT_MB}\n"
+        settings += f"limits.memoryLimitMb={memory_mb}\n"
         settings += f"limits.maxOpenFiles={max_files}\n"
         self.daemon = DaemonProcess(f"n-{number}", settings, directory)
         self.peak_mb = 0.0
@@ -143,15 +149,21 @@
 class CrowdSite:
     """A node that callers use, a node beside the target that serves them, a store."""
 
-    def __init__(self, directory: Path, max_files: int = MAX_OPEN_FILES) -> None:
-        self.max_files = max_files
+    def __init__(
+        self,
+        directory: Path,
+        max_files: int = MAX_OPEN_FILES,
+        memory_mb: int = MEMORY_LIMIT_MB,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self.max_files, self.memory_mb = max_files, memory_mb
         self._mesh = Mesh()  # for its store and configuration; it has no members
         self._mesh.configure(
-            *_ROUTES, maxBodyBytes=MAX_BODY_BYTES, idleTimeoutS=_IDLE_TIMEOUT_S
+            *_ROUTES, maxBodyBytes=max_body_bytes, idleTimeoutS=_IDLE_TIMEOUT_S
         )
         services = ("desk", "stock")
         self.nodes = [
-            CrowdNode(self._mesh, number, service, directory, max_files)
+            CrowdNode(self._mesh, number, service, directory, max_files, memory_mb)
             for number, service in enumerate(services)
         ]
         self.entry = self.nodes[0]
@@ -187,8 +199,8 @@
             name = node.service
             if not node.daemon.is_running():
                 problems.append(f"{name}: the process has ended")
-            if node.peak_mb > MEMORY_LIMIT_MB:
-                problems.append(f"{name}: {node.peak_mb:.0f} MB of {MEMORY_LIMIT_MB}")
+            if node.peak_mb > self.memory_mb:
+                problems.append(f"{name}: {node.peak_mb:.0f} MB of {self.memory_mb}")
             if node.peak_descriptors > self.max_files:
                 problems.append(
                     f"{name}: {node.peak_descriptors} descriptors of {self.max_files}"
