Read the clock once less for a call between nodes

Cause: a stream read the clock after each frame, to start the time of a stall for a message that holds nothing yet. It reads it now with what is held.

--- a/src/cyclamenvane/mesh/memory.py
+++ b/src/cyclamenvane/mesh/memory.py
@@ -205,7 +205,8 @@
         """Let the message be evicted from now on, unless it makes progress."""
         self._evict = evict
         self._position = 0
-        self._progressed_at = self._budget.now()
+        if self.held:
+            self._progressed_at = self._budget.now()
         self.pinned = False
 
     def close(self) -> None:
