--- a/src/cyclamenvane/mesh/response.py
+++ b/src/cyclamenvane/mesh/response.py
@@ -93,7 +93,7 @@
             self.malformed = self.extra_data = True
 
     def _check_start(self, data: bytes) -> None:
-        # The parser also reads responses of other protocols, and does not tell.
+        # The parser accepts responses of other protocols, and hides which one it was.
         if not self.begun:
             start = data.lstrip(b"\r\n")[:1]
             if start and start != b"H":
