Count trailers and request lines exactly

Callers saw: trailers within 5 bytes of maxHeaderBytes refused with 431 if they came in pieces of their own; a head over the limit by less than its request line served in one piece and refused in others.

With the count from before put back, test_pieces_of_a_head_within_the_limit_are_accepted and 14 more fail.

--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -21,9 +21,11 @@
 _REQUEST_OVERHEAD_BYTES = 2048  # of the objects of a request and its task
 _SMALL_BYTES = 16 * 1024
 _MIN_FIELD_FRAMING_BYTES = 3  # the colon and the line end
+_LINE_FRAMING_BYTES = len(b"  HTTP/1.1\r\n\r\n")  # of the request line, and the last
 # Chunks of one byte take five bytes more each.
 _FRAMING_PER_BODY_BYTE = 16
 _FRAMING_MARGIN_BYTES = 64 * 1024  # what is read at once
+_CHUNK_FRAMING_BYTES = 32  # from the last body byte to the first trailer
 
 
 class RequestError(Enum):
@@ -154,7 +156,7 @@
         self._trailer_bytes = 0 if body_size else self._trailer_bytes + framing_bytes
         allowed = _FRAMING_MARGIN_BYTES + self._body_bytes * _FRAMING_PER_BODY_BYTE
         if (
-            self._trailer_bytes > self.limits.header_bytes
+            self._trailer_bytes > self.limits.header_bytes + _CHUNK_FRAMING_BYTES
             or self._framing_bytes > self.limits.header_bytes + allowed
         ):
             self.error = RequestError.HEAD_TOO_LARGE
@@ -203,6 +205,7 @@
         """Called by the parser at the end of the head."""
         self.in_head = False
         self.in_body = True
+        self._count_parsed(len(self._parser.get_method()) + _LINE_FRAMING_BYTES)
         length = find_header(self._headers, b"content-length")
         if length is not None:
             if int(length) > self.limits.body_bytes:
