Accept request targets in absolute form

Callers saw: 404 for a proper request whose target is a whole URI (RFC 9112, 3.2.2), which a client does not repeat (DENIED).

Cause: the route was looked up by the target as sent, whose path begins with its scheme.

Change: such a target is turned into origin form, and its host replaces the Host header; one without a host is malformed. Other targets cost one comparison.

--- a/src/cyclamenvane/mesh/heads.py
+++ b/src/cyclamenvane/mesh/heads.py
@@ -26,6 +26,7 @@
     "render_error_head",
     "render_request_head",
     "render_response_head",
+    "resolve_target",
 ]
 
 FIELD_OVERHEAD_BYTES = 200  # of the objects of one field
@@ -55,6 +56,7 @@
 _MAX_KEEP_ALIVE = timedelta(days=1)
 _MAX_KEEP_ALIVE_DIGITS = 9
 _HOST = b"\r\nhost: "
+_SCHEME = b"http://"
 
 
 @dataclass(frozen=True)
@@ -109,6 +111,26 @@
     return int(digits) * _MILLISECOND
 
 
+def resolve_target(target: bytes, headers: Headers) -> tuple[bytes, Headers]:
+    """Return a request target in origin form, and the headers with its host.
+
+    A target in absolute form (RFC 9112, 3.2.2) replaces the Host header. Raise
+    ValueError if it has no host. Other forms are returned as they are.
+    """
+    if target[: len(_SCHEME)].lower() != _SCHEME:
+        return target, headers
+    rest = target[len(_SCHEME) :]
+    authority = rest.partition(b"/")[0].partition(b"?")[0]
+    host = authority.rpartition(b"@")[2]
+    if not host.partition(b":")[0]:
+        raise ValueError("no host in the request target")
+    path = rest[len(authority) :]
+    if not path.startswith(b"/"):
+        path = b"/" + path
+    others = tuple(each for each in headers if each[0] != b"host")
+    return path, ((b"host", host), *others)
+
+
 def parse_destination(head: bytes) -> tuple[bytes, bytes]:
     """Return the host and the path, without its query, of a rendered request head."""
     target = head.partition(b"\r\n")[0].partition(b" ")[2].partition(b" ")[0]
--- a/src/cyclamenvane/mesh/message.py
+++ b/src/cyclamenvane/mesh/message.py
@@ -12,7 +12,7 @@
 import httptools
 
 from .body_buffer import BodyBuffer
-from .heads import FIELD_OVERHEAD_BYTES, Headers, find_header
+from .heads import FIELD_OVERHEAD_BYTES, Headers, find_header, resolve_target
 from .memory import MemoryBudget, Reservation
 from .model import CallerLimits
 
@@ -227,10 +227,13 @@
         if not self._cover_complete():
             self._fail(RequestError.NO_MEMORY)
         parser = self._parser
+        target, headers = self._url, tuple(self._headers)
+        if not target.startswith(b"/"):
+            target, headers = resolve_target(target, headers)
         request = Request(
             parser.get_method(),
-            self._url,
-            tuple(self._headers),
+            target,
+            headers,
             self._body.join(),
             parser.should_keep_alive(),
             self._reservation,
--- a/tests/mesh/test_request_limits.py
+++ b/tests/mesh/test_request_limits.py
@@ -12,6 +12,8 @@
 import pytest
 from mesh_harness import POST, make_request, route
 
+from cyclamenvane.mesh.heads import find_header
+
 LIMIT = 16_384  # maxHeaderBytes of the harness
 BODY_LIMIT = 1000
 PIECES = [1000, 5000, 100_000]
@@ -115,3 +117,25 @@
     with entry.connect() as sock:
         send_in_pieces(sock, data, 400)
         assert read_statuses(sock) == [413 if over else 200]
+
+
+@pytest.mark.parametrize("query", ["", "?color=red"])
+@pytest.mark.parametrize("scheme", ["http", "HTTP"])
+def test_target_in_absolute_form_is_served(pair, scheme, query):
+    """Guards against proper requests that get 404 (RFC 9112, 3.2.2)."""
+    entry, remote = pair
+    request = make_request(f"{scheme}://shop.example:80/items/7{query}")
+    with entry.connect() as sock:
+        sock.sendall(request.replace(b"Host: shop.example", b"Host: other.example"))
+        assert read_statuses(sock) == [200]
+    (executed,) = remote.target.executed
+    assert executed.target == f"/items/7{query}".encode()
+    assert find_header(executed.headers, b"host") == b"shop.example:80"
+
+
+def test_target_in_absolute_form_without_a_host_is_malformed(pair):
+    entry, remote = pair
+    with entry.connect() as sock:
+        sock.sendall(make_request("http:///items/7"))
+        assert read_statuses(sock) == [400]
+    assert not remote.target.executed
