Acknowledge a shutdown once it is stored

Cause: the acknowledgement promised what only the memory of one process held. The record was written by another task, later; a kill in between lost it. A process that had just started passed calls on before it had read its row, and replaced the row after a conflict without reading it. It took a DELETE before the first heartbeat for one of the next start.

Until it has read its row from the store, a process has no target. A DELETE at a restarted node is of the start that the row names. explain shows who acknowledged a leaving, when it was stored and which session read it. A promise that is in the store outlives one process and all of them; it costs the write that it cost before, and one more for a restart beside a target that leaves.

--- a/src/cyclamenvane/mesh/admin.py
+++ b/src/cyclamenvane/mesh/admin.py
@@ -17,14 +17,19 @@
 from prometheus_client import generate_latest
 from waitress import wasyncore
 
+from .acknowledgement import MAX_WAITING
+
 if TYPE_CHECKING:
+    from .acknowledgement import TargetAcknowledger
     from .metric import Metrics
     from .model import Address, Heartbeat
-    from .registration import Registration
 
 __all__ = ["AdminApplication", "AdminProtocol", "AdminServer"]
 
-_THREADS = 2  # a heartbeat and a readiness probe at the same time
+# A heartbeat and a readiness probe at the same time, beside requests that wait.
+_THREADS = 2 + MAX_WAITING
+_ACKNOWLEDGED = "200 OK"
+_UNACKNOWLEDGED = "503 Service Unavailable"
 _MAX_HEAD_BYTES = 16 * 1024
 _MAX_HEARTBEAT_BYTES = 64 * 1024
 _POLL_INTERVAL_S = 1.0  # `run` returns at most this long after `close`
@@ -47,13 +52,13 @@
     def __init__(
         self,
         protocol: AdminProtocol,
-        registration: Registration,
+        acknowledger: TargetAcknowledger,
         is_ready: Callable[[], bool],
         metrics: Metrics,
         refresh_metrics: Callable[[], None],
     ) -> None:
         self._protocol = protocol
-        self._registration = registration
+        self._acknowledger = acknowledger
         self._is_ready = is_ready
         self._metrics = metrics
         self._refresh_metrics = refresh_metrics
@@ -84,9 +89,8 @@
             if method == "PUT":
                 return self._handle_heartbeat(instance, environ)
             if method == "DELETE":
-                known = self._registration.handle_deregistration(instance)
-                eliot.log_message("target:ended", instance=instance, known=known)
-                return "200 OK", b"{}"
+                acknowledged = self._acknowledger.handle_deregistration(instance)
+                return (_ACKNOWLEDGED if acknowledged else _UNACKNOWLEDGED), b"{}"
         return "404 Not Found", b"{}"
 
     def _handle_heartbeat(
@@ -99,12 +103,8 @@
                 "target:heartbeat_invalid", instance=instance, error=decoded.error
             )
             return "400 Bad Request", b"{}"
-        result = self._registration.handle_heartbeat(decoded.ok)
-        if not result.accepted:
-            eliot.log_message(
-                "target:heartbeat_ignored", instance=instance, reason=result.detail
-            )
-        return "200 OK", b"{}"
+        acknowledged = self._acknowledger.handle_heartbeat(decoded.ok)
+        return (_ACKNOWLEDGED if acknowledged else _UNACKNOWLEDGED), b"{}"
 
 
 class AdminServer:
--- a/src/cyclamenvane/mesh/discovery.py
+++ b/src/cyclamenvane/mesh/discovery.py
@@ -171,12 +171,15 @@
         ]
 
     def _apply_zone(self, changes: Sequence[RowChange], version: StoreVersion) -> None:
-        own_version = version.of_missing_row()
+        own_version, own_record = version.of_missing_row(), None
         for change in changes:
-            self._apply_node_change(change)
             if change.key == self._get_settings().node and change.row is not None:
                 own_version = change.row.version
-        self._publisher.offer_row_version(own_version)
+                own_record = decode_record(change.row.value)
+        self._publisher.offer_row(own_version, own_record)
+        for change in changes:
+            self._apply_node_change(change)
+        self._registration.restore(own_record)
 
     def apply_configurations(self, changes: list[RowChange]) -> None:
         """Apply the configuration if its row is among the changes."""
@@ -260,11 +263,10 @@
         current = self._publisher.make_record()
         if stored is None:
             self._request_publication(change.version)
-        elif stored.session < current.session:
-            if stored.leaving and stored.incarnation is not None:
-                self._registration.restore_deregistration(stored.incarnation)
+        elif stored.session != current.session:
+            self._registration.apply_record(stored)
             self._request_publication(change.version)
-        elif stored.session == current.session and stored != current:
+        elif stored != current:
             self._request_publication(change.version)
 
     def _request_publication(self, outdated_at: StoreVersion | None) -> None:
--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -174,7 +174,7 @@
         """Start all tasks; raise OSError when an address cannot be bound."""
         application = AdminApplication(
             self._adapter.admin,
-            self.registration,
+            self.store_client.acknowledger,
             self.is_ready,
             self.metrics,
             self._refresh_metrics,
--- a/src/cyclamenvane/mesh/publication.py
+++ b/src/cyclamenvane/mesh/publication.py
@@ -2,7 +2,8 @@
 
 A record is a row of the nodes table, in the part of its zone, so that the writes
 of many starting nodes spread over the parts. Each write names the expected version
-of the row: a write that the store performs late cannot overwrite a newer one. A
+of the row: a write that the store performs late cannot overwrite a newer one. What an
+earlier process of the node has written is read before it is overwritten. A
 record that the store has lost, or has an older version of, is written again; that of
 another node only if it says that its target is leaving, since that node may be gone.
 """
@@ -12,6 +13,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
+from datetime import timedelta
 from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any
 
@@ -34,21 +36,39 @@
     """Keeps the stored record of this node up to date."""
 
     def __init__(
-        self, store: RowStore, make_record: Callable[[], NodeRecord], sleep: Sleep
+        self,
+        store: RowStore,
+        make_record: Callable[[], NodeRecord],
+        restore: Callable[[NodeRecord | None], None],
+        sleep: Sleep,
     ) -> None:
         self._store = store
         self.make_record = make_record
+        self._restore = restore  # gets the record of an earlier process
         self._sleep = sleep
         self._write_requested = threading.Event()
         self._row_version: StoreVersion | None = None
-        self._written: NodeRecord | None = None
+        self._stored: NodeRecord | None = None  # as it was read or written
+        self._stored_changed = threading.Condition()
         self._outdated_at: StoreVersion | None = None
         self._lost_records: deque[tuple[NodeRecord, StoreVersion]] = deque()
 
-    def offer_row_version(self, version: StoreVersion) -> None:
-        """Use the version of this node's row that was read, number 0 for none."""
+    def offer_row(self, version: StoreVersion, record: NodeRecord | None) -> None:
+        """Use this node's row as it was read, with number 0 and None for no row."""
         if self._row_version is None:
-            self._row_version = version
+            self._take_row(version, record)
+
+    def wait_until_stored(
+        self, is_wanted: Callable[[NodeRecord], bool], timeout: timedelta
+    ) -> NodeRecord | None:
+        """Wait until the stored record is a wanted one; return it, or None."""
+
+        def is_stored() -> bool:
+            return self._stored is not None and is_wanted(self._stored)
+
+        with self._stored_changed:
+            stored = self._stored_changed.wait_for(is_stored, timeout.total_seconds())
+            return self._stored if stored else None
 
     def request_rewrite(self, outdated_at: StoreVersion) -> None:
         """Request a write of the record, which the store had not at a version.
@@ -103,19 +123,22 @@
         return True
 
     def _write(self) -> bool:
-        record = self.make_record()
         self._forget_outdated()
-        if record == self._written:
-            return True
-        row_version = self._row_version or self._read_row_version(record)
+        row_version = self._row_version or self._read_row()
         if row_version is None:
             return False
+        record = self.make_record()
+        if record == self._stored:
+            return True
         result = self._store.write([_make_write(record, row_version)])
         if result.is_ok():
-            self._row_version, self._written = result.ok, record
+            self._row_version = result.ok
+            self._set_stored(record)
+            _log_record("node:record_written", record, record, result.ok)
             return True
-        # The row may have been written, so its version has to be read again.
-        self._row_version = self._written = None
+        # The row may have been written, so it has to be read again.
+        self._row_version = None
+        self._set_stored(None)
         if result.error.failure is not RowsFailure.CONFLICT:
             eliot.log_message("node:record_not_written", error=result.error.detail)
         return False
@@ -124,18 +147,55 @@
         row_version, outdated_at = self._row_version, self._outdated_at
         if row_version is None or outdated_at is None or outdated_at < row_version:
             return
-        self._written = None
+        self._set_stored(None)
         if row_version < outdated_at:
             self._row_version = None
 
-    def _read_row_version(self, record: NodeRecord) -> StoreVersion | None:
-        page = self._store.read(NODES_TABLE, record.zone)
+    def _read_row(self) -> StoreVersion | None:
+        own = self.make_record()
+        page = self._store.read(NODES_TABLE, own.zone)
         if page.is_error():
+            eliot.log_message("node:record_not_read", error=page.error.detail)
             return None
+        version, stored = page.ok.version.of_missing_row(), None
         for change in page.ok.changes:
-            if change.key == record.node and change.row is not None:
-                return change.row.version
-        return page.ok.version.of_missing_row()
+            if change.key == own.node and change.row is not None:
+                version, stored = change.row.version, decode_record(change.row.value)
+        self._take_row(version, stored)
+        self._restore(None if _is_same_process(stored, own) else stored)
+        return version
+
+    def _take_row(self, version: StoreVersion, record: NodeRecord | None) -> None:
+        own = self.make_record()
+        self._row_version = version
+        self._set_stored(record)
+        if record is not None:
+            _log_record("node:record_read", own, record, version)
+
+    def _set_stored(self, record: NodeRecord | None) -> None:
+        with self._stored_changed:
+            self._stored = record
+            self._stored_changed.notify_all()
+
+
+def _is_same_process(record: NodeRecord | None, own: NodeRecord) -> bool:
+    return record is not None and record.session == own.session
+
+
+def _log_record(
+    event: str, own: NodeRecord, stored: NodeRecord, version: StoreVersion
+) -> None:
+    incarnation = stored.incarnation
+    eliot.log_message(
+        event,
+        node=own.node,
+        session=own.session,
+        written_by=stored.session,
+        instance=incarnation.instance if incarnation else None,
+        born=incarnation.started_ms if incarnation else None,
+        leaving=stored.leaving,
+        version=version,
+    )
 
 
 def _make_write(record: NodeRecord, expected: StoreVersion) -> RowWrite:
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -4,6 +4,9 @@
 Once a target has announced its shutdown, late heartbeats of the same incarnation do not
 make it serving again. For a short time after the announcement it still gets calls:
 those already on their way to it, and those for which there is no other target.
+
+An earlier process of the node may have acknowledged that a target leaves. Until
+`restore` says what it has recorded, heartbeats are taken, but no target is known.
 """
 
 from __future__ import annotations
@@ -15,10 +18,11 @@
 from typing import TYPE_CHECKING
 
 from .forward import Reason
+from .model import Address, Heartbeat, Incarnation
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from .model import Address, Heartbeat, Incarnation
+    from .model import NodeRecord
 
 __all__ = ["HeartbeatResult", "Registration", "TargetState"]
 
@@ -33,7 +37,7 @@
     """The newest heartbeat, and whether the target has announced its shutdown.
 
     `deregistered` is set by the target's deregistration (DELETE) or by
-    `restore_deregistration`, `leaving` by a response. `accepts_calls_until` is the
+    `restore`, `leaving` by a response. `accepts_calls_until` is the
     monotonic time until which a target that has announced its shutdown still gets
     calls.
     """
@@ -52,10 +56,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatResult:
-    """Whether a heartbeat was accepted, and the reason if it was not."""
+    """Whether a heartbeat was accepted, and the reason if it was not.
+
+    One that `is_foreign` is not from the target of this node.
+    """
 
     accepted: bool
     detail: str = ""
+    is_foreign: bool = False
 
 
 class Registration:
@@ -77,6 +85,8 @@
         self._state: TargetState | None = None
         self._warm_at = timedelta()
         self._announced_shutdowns: dict[str, int] = {}
+        self._recorded: Incarnation | None = None  # by an earlier process
+        self._restored = threading.Event()
         self._lock = threading.Lock()
 
     def set_target(self, service: str, address: Address) -> None:
@@ -87,12 +97,12 @@
                 self._state = None
 
     def state(self) -> TargetState | None:
-        """Return the state of the target, or None before its first heartbeat."""
-        return self._state
+        """Return the state of the target, None before it is known."""
+        return self._state if self._restored.is_set() else None
 
     def is_serving(self) -> bool:
         """Return whether the target is known and has not announced its shutdown."""
-        state = self._state
+        state = self.state()
         return state is not None and state.serving
 
     def is_warming(self) -> bool:
@@ -101,7 +111,7 @@
 
     def serving_incarnation(self) -> Incarnation | None:
         """Return the incarnation that calls may be sent to, if any."""
-        state = self._state
+        state = self.state()
         if state is None:
             return None
         if not state.serving and self._clock.monotonic() >= state.accepts_calls_until:
@@ -110,31 +120,34 @@
 
     def refusal_reason(self) -> Reason:
         """Return the reason for which the target gets no new calls."""
-        return Reason.NO_TARGET if self._state is None else Reason.LEAVING
+        return Reason.NO_TARGET if self.state() is None else Reason.LEAVING
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Apply a heartbeat, unless it is late or from another target."""
         if heartbeat.service != self.service or heartbeat.address != self._address:
-            return HeartbeatResult(False, "not from the target of this node")
+            detail = "not from the target of this node"
+            return HeartbeatResult(False, detail, is_foreign=True)
         with self._lock:
             detail = self._check_heartbeat(heartbeat)
             if detail:
                 return HeartbeatResult(False, detail)
             before = self._state
             until, leaving = timedelta(), False
-            if before is not None and (
-                before.heartbeat.incarnation == heartbeat.incarnation
-            ):
-                # A healthy heartbeat does not revoke what a response said.
-                until, leaving = before.accepts_calls_until, before.leaving
+            if before is not None:
+                known = before.heartbeat.incarnation
+                if known == heartbeat.incarnation:
+                    # A healthy heartbeat does not revoke what a response said.
+                    until, leaving = before.accepts_calls_until, before.leaving
+                else:
+                    # It has ended, since another one has its address.
+                    self._add_announced_shutdown(known)
             if heartbeat.draining:
                 until = self._compute_accepts_calls_until(heartbeat.incarnation)
-                announced = heartbeat.incarnation
-                self._add_announced_shutdown(announced.instance, announced.started_ms)
+                self._add_announced_shutdown(heartbeat.incarnation)
             self._state = TargetState(heartbeat, False, until, leaving)
             self._warm_at = self._clock.monotonic() + heartbeat.warmup
         if before is None or _is_relevant_change(before, self._state):
-            self._on_change(self._state)
+            self._report_change()
         return HeartbeatResult(True)
 
     def handle_leaving_response(self, incarnation: Incarnation) -> None:
@@ -147,44 +160,112 @@
                 return
             until = self._compute_accepts_calls_until(incarnation)
             self._state = replace(state, accepts_calls_until=until, leaving=True)
-        self._on_change(self._state)
+        self._report_change()
 
-    def handle_deregistration(self, instance: str) -> bool:
-        """Apply the deregistration of a target; return whether it was known."""
+    def handle_deregistration(self, instance: str) -> Incarnation | None:
+        """Apply the deregistration of a target; return the incarnation that ended.
+
+        The request has no start time to distinguish incarnations by. Return None if it
+        is not known which of this instance it is; late heartbeats of all that have
+        started so far are ignored then.
+        """
         with self._lock:
             state = self._state
             if state is None or state.heartbeat.incarnation.instance != instance:
-                # The request has no start time to distinguish incarnations by: all
-                # those of this instance known so far count as deregistered.
-                if instance not in self._announced_shutdowns:
-                    self._add_announced_shutdown(instance, 0)
-                return False
-            # A target that has drained exits at once after it deregisters, so it gets
-            # no more calls. One that has not drained exits a little later and still
-            # gets calls for a short time.
-            until = timedelta()
-            if state.serving:
-                until = self._compute_accepts_calls_until(state.heartbeat.incarnation)
-            incarnation = state.heartbeat.incarnation
-            self._add_announced_shutdown(instance, incarnation.started_ms)
-            changed = not state.deregistered
-            self._state = TargetState(state.heartbeat, True, until)
+                ended = self._find_ended(instance)
+                is_newest = state is None and self._restored.is_set()
+                if not is_newest and instance not in self._announced_shutdowns:
+                    self._add_announced_shutdown(ended)
+                    return None
+                self._add_announced_shutdown(ended)
+                if not is_newest:
+                    return ended
+                self._state, changed = self._make_ended_state(ended), True
+            else:
+                # A target that has drained exits at once after it deregisters, so it
+                # gets no more calls. One that has not drained exits a little later and
+                # still gets calls for a short time.
+                until = timedelta()
+                ended = state.heartbeat.incarnation
+                if state.serving:
+                    until = self._compute_accepts_calls_until(ended)
+                self._add_announced_shutdown(ended)
+                changed = not state.deregistered
+                self._state = TargetState(state.heartbeat, True, until)
         if changed:
-            self._on_change(self._state)
-        return True
+            self._report_change()
+        return ended
+
+    def restore(self, record: NodeRecord | None) -> None:
+        """Apply the node's stored record, as of now; None if there is none.
 
-    def restore_deregistration(self, incarnation: Incarnation) -> None:
-        """Mark a target as deregistered that an earlier session recorded as leaving."""
+        Nothing that an earlier process acknowledged is missing in it.
+        """
+        if record is not None:
+            self.apply_record(record)
+        with self._lock:
+            is_first = not self._restored.is_set()
+            self._restored.set()
+        if is_first and self._state is not None:
+            self._report_change()
+
+    def wait_until_restored(self, timeout: timedelta) -> bool:
+        """Wait for `restore`; return whether it was called."""
+        return self._restored.wait(timeout.total_seconds())
+
+    def apply_record(self, record: NodeRecord) -> None:
+        """Apply a record of this node by an earlier process, which may be outdated."""
+        recorded = record.incarnation
+        if recorded is None or record.service != self.service:
+            return
         with self._lock:
-            self._add_announced_shutdown(incarnation.instance, incarnation.started_ms)
+            announced = self._announced_shutdowns.get(recorded.instance, -1)
             state = self._state
-            is_current = (
-                state is not None and state.heartbeat.incarnation == incarnation
-            )
-            if is_current:
+            known = state.heartbeat.incarnation if state is not None else None
+            before = state
+            if not record.leaving and announced < recorded.started_ms:
+                if known is None:
+                    self._recorded = recorded
+                elif recorded < known:
+                    self._add_announced_shutdown(recorded)
+                return
+            self._add_announced_shutdown(recorded)
+            if state is None or known < recorded:
+                self._state = self._make_ended_state(recorded, record.slots)
+            elif known == recorded and not state.deregistered:
                 self._state = TargetState(state.heartbeat, deregistered=True)
-        if is_current:
-            self._on_change(self._state)
+            changed = self._state is not before
+        if changed:
+            self._report_change()
+
+    def _find_ended(self, instance: str) -> Incarnation:
+        """Return the newest incarnation that a deregistration may be of."""
+        announced = self._announced_shutdowns.get(instance)
+        if announced is not None:
+            return Incarnation(announced, instance)
+        if self._recorded is not None and self._recorded.instance == instance:
+            return self._recorded
+        return Incarnation(int(self._clock.now().timestamp() * 1000), instance)
+
+    def _make_ended_state(
+        self, incarnation: Incarnation, slots: int = 0
+    ) -> TargetState:
+        heartbeat = Heartbeat(
+            incarnation,
+            self.service,
+            self._address,
+            zone="",
+            slots=slots,
+            draining=True,
+            sequence=0,
+            warmup=timedelta(),
+        )
+        return TargetState(heartbeat, deregistered=True)
+
+    def _report_change(self) -> None:
+        state = self.state()
+        if state is not None:
+            self._on_change(state)
 
     def _compute_accepts_calls_until(self, incarnation: Incarnation) -> timedelta:
         """Return until when a target that announces its shutdown still gets calls."""
@@ -199,9 +280,6 @@
     def _check_heartbeat(self, heartbeat: Heartbeat) -> str:
         incarnation = heartbeat.incarnation
         announced = self._announced_shutdowns.get(incarnation.instance)
-        if announced == 0 and not heartbeat.draining:
-            self._announced_shutdowns[incarnation.instance] = incarnation.started_ms
-            return "the target was deregistered"
         if announced is not None and incarnation.started_ms <= announced:
             if not heartbeat.draining:
                 return "the target has announced its shutdown"
@@ -218,8 +296,10 @@
                 return "the target was deregistered"
         return ""
 
-    def _add_announced_shutdown(self, instance: str, started_ms: int) -> None:
-        self._announced_shutdowns[instance] = started_ms
+    def _add_announced_shutdown(self, incarnation: Incarnation) -> None:
+        known = self._announced_shutdowns.get(incarnation.instance, 0)
+        started_ms = max(known, incarnation.started_ms)
+        self._announced_shutdowns[incarnation.instance] = started_ms
         while len(self._announced_shutdowns) > _MAX_ANNOUNCED_SHUTDOWNS:
             del self._announced_shutdowns[next(iter(self._announced_shutdowns))]
 
--- a/src/cyclamenvane/mesh/store_client.py
+++ b/src/cyclamenvane/mesh/store_client.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from .acknowledgement import TargetAcknowledger
 from .counted_store import CountedStore
 from .discovery import Discovery
 from .publication import NODES_TABLE, RecordPublisher
@@ -57,7 +58,10 @@
         node = get_settings().node
         tables = (adapter.configuration_table, NODES_TABLE)
         self.store_watch = StoreWatch(tables, clock)
-        self.publisher = RecordPublisher(open_store(), make_record, sleep)
+        self.publisher = RecordPublisher(
+            open_store(), make_record, registration.restore, sleep
+        )
+        self.acknowledger = TargetAcknowledger(registration, self.publisher, clock)
         selection = WatcherSelection(node, lambda: self.discovery.list_zone(), clock)
         self.discovery = Discovery(
             get_settings,
--- a/src/cyclamenvane/mesh/trace.py
+++ b/src/cyclamenvane/mesh/trace.py
@@ -2,12 +2,13 @@
 
 The clocks of VMs differ, so lines of different nodes are not ordered by time. The
 line of the request comes first, then the lines of the nodes that it passed, then
-each of its nested calls in the same way.
+each of its nested calls in the same way. If a target that it was passed to has
+announced its shutdown, what its node has said and stored about that follows.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +18,14 @@
 
 # `call:done` is logged where a call enters the mesh, `forward:done` at its target.
 _HOP_ORDER = {"forward:done": 0, "call:done": 1}
+_SHUTDOWN_LINES = frozenset(
+    (
+        "node:record_read",
+        "node:record_written",
+        "target:leaving_acknowledged",
+        "target:leaving_not_stored",
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,15 +41,25 @@
 class RequestTrace:
     """The lines of one request and its nested calls, in order.
 
-    `malformed` is the number of lines that were skipped as invalid.
+    `malformed` is the number of lines that were skipped as invalid. `shutdowns` are the
+    lines about the shutdown of the targets that ran the request, by time.
     """
 
     lines: tuple[LogLine, ...]
     malformed: int
+    shutdowns: tuple[LogLine, ...] = ()
 
     def render(self) -> str:
-        """Return the trace as text, with nested calls indented."""
-        return "\n".join(_render(line) for line in self.lines)
+        """Return the trace as text, with nested calls indented.
+
+        Times are shown if they are to be compared with those of a shutdown.
+        """
+        with_time = bool(self.shutdowns)
+        texts = [_render(line, line.fields["id"], with_time) for line in self.lines]
+        texts += [
+            _render(each, each.fields["instance"], True) for each in self.shutdowns
+        ]
+        return "\n".join(texts)
 
 
 def read_log_lines(texts: Iterable[str]) -> tuple[list[LogLine], int]:
@@ -69,18 +88,34 @@
     matching.sort(
         key=lambda line: (line.fields["id"], -_HOP_ORDER.get(line.message_type, 0))
     )
-    return RequestTrace(tuple(matching), malformed)
+    instances = {line.fields.get("instance") for line in matching} - {None, ""}
+    return RequestTrace(tuple(matching), malformed, _list_shutdowns(lines, instances))
+
+
+def _list_shutdowns(
+    lines: Iterable[LogLine], instances: Container[str]
+) -> tuple[LogLine, ...]:
+    found = [
+        line
+        for line in lines
+        if line.message_type in _SHUTDOWN_LINES
+        and line.fields.get("instance") in instances
+        and line.fields.get("leaving", True)
+    ]
+    return tuple(sorted(found, key=lambda line: line.fields.get("timestamp", 0.0)))
 
 
 def _is_of_request(name: Any, request: str) -> bool:
     return isinstance(name, str) and f"{name}.".startswith(f"{request}.")
 
 
-def _render(line: LogLine) -> str:
-    fields = dict(line.fields)
-    name = fields.pop("id")
-    fields.pop("timestamp", None)
-    text = " ".join(
-        f"{key}={value}" for key, value in fields.items() if value not in ("", None)
-    )
+def _render(line: LogLine, name: str, with_time: bool) -> str:
+    fields = {
+        key: value
+        for key, value in line.fields.items()
+        if value not in ("", None) and key not in ("id", "timestamp")
+    }
+    if with_time:
+        fields["at"] = line.fields.get("timestamp")
+    text = " ".join(f"{key}={value}" for key, value in fields.items())
     return f"{'  ' * name.count('.')}{name} {line.message_type} [{line.origin}] {text}"
--- a/tests/mesh/test_registration.py
+++ b/tests/mesh/test_registration.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 import pytest
-from builders import TARGET, make_heartbeat
+from builders import TARGET, make_heartbeat, make_record
 
 from cyclamenvane.mesh.forward import Reason
 from cyclamenvane.mesh.model import Incarnation
@@ -21,7 +21,9 @@
 
 @pytest.fixture
 def registration(changes, clock):
-    return Registration("stock", TARGET, DRAIN, clock, changes.append)
+    registration = Registration("stock", TARGET, DRAIN, clock, changes.append)
+    registration.restore(None)
+    return registration
 
 
 def test_a_heartbeat_registers_the_target(registration, changes):
@@ -67,10 +69,16 @@
     assert not registration.is_serving()
 
 
-def test_a_deregistration_before_the_first_heartbeat_is_applied(registration):
-    assert not registration.handle_deregistration("i-1")
+def test_a_deregistration_before_the_first_heartbeat_is_applied(registration, clock):
+    """Guards against a next start that is taken for a late heartbeat."""
+    ended = registration.handle_deregistration("i-1")
     assert not registration.handle_heartbeat(make_heartbeat()).accepted
     assert not registration.is_serving()
+    now_ms = int(clock.now().timestamp() * 1000)
+    assert ended == Incarnation(now_ms, "i-1")
+    next_start = make_heartbeat(incarnation=Incarnation(now_ms + 1, "i-1"))
+    assert registration.handle_heartbeat(next_start).accepted
+    assert registration.is_serving()
 
 
 def test_deregistrations_of_unknown_targets_are_bounded(registration):
@@ -106,7 +114,8 @@
 ):
     if heartbeat_first:
         registration.handle_heartbeat(make_heartbeat())
-    registration.restore_deregistration(Incarnation(1000, "i-1"))
+    incarnation = Incarnation(1000, "i-1")
+    registration.restore(make_record(incarnation=incarnation, leaving=True))
     assert not registration.handle_heartbeat(make_heartbeat(sequence=9)).accepted
     assert not registration.is_serving()
     next_start = make_heartbeat(incarnation=Incarnation(2000, "i-1"))
--- a/tests/mesh/test_subscription.py
+++ b/tests/mesh/test_subscription.py
@@ -205,13 +205,19 @@
     assert timeout >= timedelta(milliseconds=500)
 
 
+def make_publisher(client, record) -> RecordPublisher:
+    return RecordPublisher(
+        client, lambda: record, lambda record: None, FakeSleep(10**6)
+    )
+
+
 @pytest.fixture
 def publish_record(store):
     """Return a function that publishes a record and returns the stored rows."""
 
     def publish(record, rounds=1):
         client = RowsClient(store.address, timedelta(seconds=1))
-        publisher = RecordPublisher(client, lambda: record, FakeSleep(10**6))
+        publisher = make_publisher(client, record)
         for _ in range(rounds):
             publisher._write()
         client.close()
@@ -269,7 +275,7 @@
 def test_record_acknowledged_just_before_a_restore_is_written_again(store):
     """The nodes have read the restored store before the acknowledgement arrives."""
     client = RowsClient(store.address, timedelta(seconds=1))
-    publisher = RecordPublisher(client, lambda: make_record("n"), FakeSleep(9))
+    publisher = make_publisher(client, make_record("n"))
     copy, write = store.copy(), client.write
 
     def write_and_restore(writes):
@@ -288,8 +294,8 @@
 
 def test_known_row_version_saves_the_read(store):
     client = RowsClient(store.address, timedelta(seconds=1))
-    publisher = RecordPublisher(client, lambda: make_record("n"), FakeSleep(9))
-    publisher.offer_row_version(at(0))
+    publisher = make_publisher(client, make_record("n"))
+    publisher.offer_row(at(0), None)
     assert publisher._write()
     assert store.calls == ["/api/rows-tx"]
     client.close()
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform's row store, served over HTTP.
 
 It keeps rows in memory, with transactions, ranges, a feed and a bounded
-history. Tests can make it unresponsive or silent, return error statuses, lose
-responses, close connections after them, or restore it from a copy.
+history. Tests can make it unresponsive or silent, delay its writes, return error
+statuses, lose responses, close connections after them, or restore it from a copy.
 """
 
 from __future__ import annotations
@@ -42,6 +42,7 @@
         self.lose_responses = False
         self.closes_connections = False
         self.unresponsive = False
+        self.write_delay_s = 0.0
         self.silent = False
         self.silences = 0
         self.calls: list[str] = []
@@ -231,6 +232,7 @@
 
     def do_POST(self) -> None:
         body = self.rfile.read(int(self.headers["Content-Length"]))
+        time.sleep(self.store.write_delay_s)
         self._answer(self.path, lambda: self.store.transact(json.loads(body)))
 
     def _answer(self, path: str, perform) -> None:
