Use a changed address of the store without a restart

Cause: the clients of the store were opened once, with the address of the start.

Evidence: the three tests of a moved store fail before, also with a store that is silent at its earlier address.

Change: each call asks the settings for the address, and a reload ends the calls that wait at another one; a watch would stay there for up to 8 s.

Measured: the three tests pass.

--- a/src/cyclamenvane/mesh/node.py
+++ b/src/cyclamenvane/mesh/node.py
@@ -224,8 +224,8 @@
         if settings == self.settings:
             return
         self.settings = settings
-        self.registration.set_target(settings.service, settings.target)
-        self.registration.drain_timeout = settings.drain_timeout
+        self.registration.reconfigure(settings)
+        self.store_client.reconnect()
         self._upstream.set_address(settings.target)
         self._budget.reconfigure(*retry_bounds(settings))
         self.shedder.reconfigure(*retry_bounds(settings))
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from .model import NodeRecord
+    from .model import MeshSettings, NodeRecord
 
 __all__ = ["HeartbeatResult", "Registration", "TargetState"]
 
@@ -89,9 +89,11 @@
         self._restored = threading.Event()
         self._lock = threading.Lock()
 
-    def set_target(self, service: str, address: Address) -> None:
-        """Set the expected service and address; a change discards the state."""
+    def reconfigure(self, settings: MeshSettings) -> None:
+        """Apply changed settings; another service or address discards the state."""
+        service, address = settings.service, settings.target
         with self._lock:
+            self.drain_timeout = settings.drain_timeout
             if (service, address) != (self.service, self._address):
                 self.service, self._address = service, address
                 self._state = None
--- a/src/cyclamenvane/mesh/store_client.py
+++ b/src/cyclamenvane/mesh/store_client.py
@@ -11,6 +11,7 @@
 from .acknowledgement import TargetAcknowledger
 from .counted_store import CountedStore
 from .discovery import Discovery
+from .movable_store import MovableStore
 from .publication import NODES_TABLE, RecordPublisher
 from .relay import Follower, Relay
 from .store_watch import StoreWatch
@@ -50,8 +51,12 @@
         clock: Clock,
         sleep: Sleep,
     ) -> None:
+        self._stores: list[MovableStore] = []
+
         def open_store() -> CountedStore:
-            return CountedStore(adapter.open_store(get_settings().store), metrics)
+            store = MovableStore(adapter.open_store, lambda: get_settings().store)
+            self._stores.append(store)
+            return CountedStore(store, metrics)
 
         self._peer_sync = peer_sync
         self._joined = threading.Event()
@@ -101,6 +106,11 @@
             self.publisher.run,
         ]
 
+    def reconnect(self) -> None:
+        """Let calls to an address fail that is not that of the settings any more."""
+        for store in self._stores:
+            store.interrupt_moved()
+
     def wake(self) -> None:
         """Wake the tasks, so that they notice that the node has stopped."""
         self.publisher.request_write()
