Identify a deregistration before it is recorded

Callers would have seen: a server that is never used, if a DELETE of another instance came to its node late.

Cause: a DELETE of an unknown instance was recorded as a start of that moment, and heartbeats of all earlier starts counted as outdated, whatever their instance.

Change: only a known start is recorded and acknowledged: that of the state, of the row, or of earlier settings. The newest of several outdated rows counts.

--- a/src/cyclamenvane/mesh/acknowledgement.py
+++ b/src/cyclamenvane/mesh/acknowledgement.py
@@ -101,9 +101,9 @@
 
 
 def records_shutdown(record: NodeRecord, incarnation: Incarnation) -> bool:
-    """Return whether no process that has read the record passes calls to a target.
+    """Return whether a process that has read the record knows of a shutdown.
 
-    That is so too if a later start has taken its place.
+    A later start says so too, as it has the address of the one before.
     """
     recorded = record.incarnation
     if recorded is None or recorded == incarnation:
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -84,8 +84,11 @@
         self._on_change = on_change
         self._state: TargetState | None = None
         self._warm_at = timedelta()
+        # By instance, up to which start time its incarnations have ended.
         self._announced_shutdowns: dict[str, int] = {}
-        self._recorded: Incarnation | None = None  # by an earlier process
+        self._unidentified_shutdowns: dict[str, int] = {}
+        # The newest incarnation of an earlier process, or of earlier settings.
+        self._earlier: Incarnation | None = None
         self._restored = threading.Event()
         self._lock = threading.Lock()
 
@@ -96,6 +99,8 @@
             self.drain_timeout = settings.drain_timeout
             if (service, address) != (self.service, self._address):
                 self.service, self._address = service, address
+                if self._state is not None:
+                    self._earlier = self._state.heartbeat.incarnation
                 self._state = None
 
     def state(self) -> TargetState | None:
@@ -167,22 +172,22 @@
     def handle_deregistration(self, instance: str) -> Incarnation | None:
         """Apply the deregistration of a target; return the incarnation that ended.
 
-        The request has no start time to distinguish incarnations by. Return None if it
-        is not known which of this instance it is; late heartbeats of all that have
+        The request has no start time to distinguish incarnations by. Return None if no
+        incarnation of this instance is known; late heartbeats of those that have
         started so far are ignored then.
         """
         with self._lock:
             state = self._state
             if state is None or state.heartbeat.incarnation.instance != instance:
                 ended = self._find_ended(instance)
-                is_newest = state is None and self._restored.is_set()
-                if not is_newest and instance not in self._announced_shutdowns:
-                    self._add_announced_shutdown(ended)
+                if ended is None:
+                    now_ms = int(self._clock.now().timestamp() * 1000)
+                    _add_bounded(self._unidentified_shutdowns, instance, now_ms)
                     return None
                 self._add_announced_shutdown(ended)
-                if not is_newest:
-                    return ended
-                self._state, changed = self._make_ended_state(ended), True
+                changed = state is None
+                if changed:
+                    self._state = self._make_ended_state(ended)
             else:
                 # A target that has drained exits at once after it deregisters, so it
                 # gets no more calls. One that has not drained exits a little later and
@@ -221,33 +226,29 @@
         if recorded is None or record.service != self.service:
             return
         with self._lock:
-            announced = self._announced_shutdowns.get(recorded.instance, -1)
-            state = self._state
-            known = state.heartbeat.incarnation if state is not None else None
-            before = state
-            if not record.leaving and announced < recorded.started_ms:
-                if known is None:
-                    self._recorded = recorded
-                elif recorded < known:
-                    self._add_announced_shutdown(recorded)
-                return
-            self._add_announced_shutdown(recorded)
-            if state is None or known < recorded:
-                self._state = self._make_ended_state(recorded, record.slots)
-            elif known == recorded and not state.deregistered:
-                self._state = TargetState(state.heartbeat, deregistered=True)
+            before = self._state
+            known = before.heartbeat.incarnation if before is not None else None
+            if record.leaving or self._has_announced_shutdown(recorded):
+                self._add_announced_shutdown(recorded)
+                if before is None or known < recorded:
+                    self._state = self._make_ended_state(recorded, record.slots)
+                elif known == recorded and not before.deregistered:
+                    self._state = TargetState(before.heartbeat, deregistered=True)
+            elif known is None:
+                self._earlier = max(recorded, self._earlier or recorded)
+            elif recorded < known:
+                self._add_announced_shutdown(recorded)
             changed = self._state is not before
         if changed:
             self._report_change()
 
-    def _find_ended(self, instance: str) -> Incarnation:
-        """Return the newest incarnation that a deregistration may be of."""
+    def _find_ended(self, instance: str) -> Incarnation | None:
+        """Return the newest known incarnation that a deregistration may be of."""
         announced = self._announced_shutdowns.get(instance)
         if announced is not None:
             return Incarnation(announced, instance)
-        if self._recorded is not None and self._recorded.instance == instance:
-            return self._recorded
-        return Incarnation(int(self._clock.now().timestamp() * 1000), instance)
+        recorded = self._earlier
+        return recorded if recorded and recorded.instance == instance else None
 
     def _make_ended_state(
         self, incarnation: Incarnation, slots: int = 0
@@ -281,10 +282,8 @@
 
     def _check_heartbeat(self, heartbeat: Heartbeat) -> str:
         incarnation = heartbeat.incarnation
-        announced = self._announced_shutdowns.get(incarnation.instance)
-        if announced is not None and incarnation.started_ms <= announced:
-            if not heartbeat.draining:
-                return "the target has announced its shutdown"
+        if self._has_announced_shutdown(incarnation) and not heartbeat.draining:
+            return "the target has announced its shutdown"
         state = self._state
         if state is None:
             return ""
@@ -298,12 +297,22 @@
                 return "the target was deregistered"
         return ""
 
+    def _has_announced_shutdown(self, incarnation: Incarnation) -> bool:
+        instance, started_ms = incarnation.instance, incarnation.started_ms
+        return started_ms <= self._announced_shutdowns.get(
+            instance, -1
+        ) or started_ms <= self._unidentified_shutdowns.get(instance, -1)
+
     def _add_announced_shutdown(self, incarnation: Incarnation) -> None:
         known = self._announced_shutdowns.get(incarnation.instance, 0)
-        started_ms = max(known, incarnation.started_ms)
-        self._announced_shutdowns[incarnation.instance] = started_ms
-        while len(self._announced_shutdowns) > _MAX_ANNOUNCED_SHUTDOWNS:
-            del self._announced_shutdowns[next(iter(self._announced_shutdowns))]
+        newest = max(known, incarnation.started_ms)
+        _add_bounded(self._announced_shutdowns, incarnation.instance, newest)
+
+
+def _add_bounded(shutdowns: dict[str, int], instance: str, started_ms: int) -> None:
+    shutdowns[instance] = started_ms
+    while len(shutdowns) > _MAX_ANNOUNCED_SHUTDOWNS:
+        del shutdowns[next(iter(shutdowns))]
 
 
 def _is_relevant_change(before: TargetState, after: TargetState) -> bool:
