--- a/src/cyclamenvane/mesh/acknowledgement.py
+++ b/src/cyclamenvane/mesh/acknowledgement.py
@@ -101,9 +101,9 @@
 
 
 def records_shutdown(record: NodeRecord, incarnation: Incarnation) -> bool:
-    """Return whether a process that has read the record knows of a shutdown.
+    """Return whether a record says that an incarnation is leaving or has ended.
 
-    A later start says so too, as it has the address of the one before.
+    The record of a later start says so, as it has the address of the one before.
     """
     recorded = record.incarnation
     if recorded is None or recorded == incarnation:
--- a/src/cyclamenvane/mesh/registration.py
+++ b/src/cyclamenvane/mesh/registration.py
@@ -107,6 +107,11 @@
         """Return the state of the target, None before it is known."""
         return self._state if self._restored.is_set() else None
 
+    def instance(self) -> str:
+        """Return the name of the target's instance, empty before it is known."""
+        state = self.state()
+        return state.heartbeat.incarnation.instance if state is not None else ""
+
     def is_serving(self) -> bool:
         """Return whether the target is known and has not announced its shutdown."""
         state = self.state()
--- a/src/cyclamenvane/mesh/target_proxy.py
+++ b/src/cyclamenvane/mesh/target_proxy.py
@@ -136,7 +136,6 @@
     ) -> None:
         load = result.load
         content = digest_content(request.head, request.body).hex() if failed else ""
-        target = self._registration.state()
         self._log.write(
             "forward:done",
             request.attempt,
@@ -156,7 +155,7 @@
             level=load.level,
             version=load.version,
             content=content,
-            instance=target.heartbeat.incarnation.instance if target else "",
+            instance=self._registration.instance(),
         )
 
     def _check_and_send(
