Review: a zone keeps an older version while its watcher is cut from the store

Cause: followers ask their watcher only, and a watcher whose calls get no answer counts as having lost the store after up to 3.4 s. The standby has the version, but tells it only to nodes that exchange calls with it.

Change: case 15 with its claim and script; the store of the stand-ins can be silent to some nodes.

--- /dev/null
+++ b/review/15/run.py
@@ -0,0 +1,91 @@
+"""The node that follows the store for its zone is partitioned from the store."""
+
+import sys
+import threading
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins-3"))
+
+import stand_ins as site_of  # noqa: E402
+
+ROUNDS = 4
+CUT_S = 5.5  # of `core_cut`, count 1
+CALM_S = 6.0  # between the rounds, longer than stableWindowS
+CHANGE_S = 0.1  # from the begin of a cut to a change of the configuration
+CONFIG_APPLY_S = 2.0
+PAUSE_S = 0.25  # between the requests of a caller
+# As in one zone of wrwh-mesh, in the order of the nodes' numbers.
+SERVICES = ("stock", "book", "stock", "book", "vault", "stock", "fleet")
+
+
+def look(server, request, reader, sock):
+    time.sleep(0.01)
+    return 200, {}, server.node.service.encode()
+
+
+def play(record) -> bool:
+    def make_routes(service: str) -> list[dict]:
+        return [
+            site_of.make_route("look", service, "/look/"),
+            site_of.make_route("book", "book", "/book/"),
+            site_of.make_route("vault", "vault", "/vault/"),
+            site_of.make_route("fleet", "fleet", "/fleet/"),
+        ]
+
+    nodes = [("a", service) for service in SERVICES]
+    nodes += [("b", "stock"), ("b", "book"), ("b", "vault")]
+    with site_of.Site(record, nodes, make_routes("stock")) as site:
+        site.start()
+        for number, node in enumerate(site.nodes):
+            site.serve(node, f"i-{number}", look)
+        time.sleep(10)  # the calls from the start of the nodes have ended
+        answers: list[tuple[float, str]] = []
+        ends = [float("inf")]
+
+        def call(node) -> None:
+            client = site_of.Client(site, node, node.name.replace("-", "") + "x")
+            while record.now() < ends[0]:
+                _, answer = client.ask("GET", "/look/1", 1.0)
+                answers.append((answer.sent, answer.body.decode()))
+                time.sleep(PAUSE_S)
+
+        zone = [node for node in site.nodes if node.zone == "a"]
+        callers = [node for node in zone if node.service in ("stock", "book")]
+        tasks = [threading.Thread(target=call, args=(node,)) for node in callers]
+        for task in tasks:
+            task.start()
+        changes: list[tuple[float, str]] = []
+        names = {node.name for node in zone}
+        for number in range(ROUNDS):
+            time.sleep(1 + 0.35 * number)
+            if site_of.trouble():
+                # Of the zone, the one that follows all of the store's tables.
+                reader = sorted(site.store.readers("cyclamenvane-nodes") & names)[:1]
+                record.write("cut from the store:", *reader)
+                site.store.cut.update(reader)
+            time.sleep(CHANGE_S)
+            service = ("book", "stock")[number % 2]
+            site.configure(make_routes(service))
+            changes.append((record.now(), service))
+            time.sleep(CUT_S - CHANGE_S)
+            site.store.cut.clear()
+            time.sleep(CALM_S)
+        ends[0] = record.now()
+        for task in tasks:
+            task.join()
+        late = 0
+        for at, service in changes:
+            stale = [
+                sent - at
+                for sent, by in answers
+                if at + CONFIG_APPLY_S < sent < at + CUT_S + 1 and by not in ("", service)
+            ]
+            last = max(stale, default=0.0)
+            record.write(f"{len(stale)} requests stale, the last {last:.2f} s after it")
+            late += len(stale)
+        return not late
+
+
+site_of.run(play, FOLDER)
--- a/review/standins-3/stand_ins.py
+++ b/review/standins-3/stand_ins.py
@@ -109,6 +109,7 @@
         self.history: list[dict] = []
         self.changed = threading.Condition()
         self.feeds: Counter[tuple[str, str]] = Counter()  # open ones, by node and table
+        self.cut: set[str] = set()  # the nodes that are partitioned from the store
         self._host = host
 
     def open(self, node: str) -> str:
@@ -140,6 +141,12 @@
                 self.reply(*store.transact(json.loads(body)))
 
             def reply(self, status: int, document: dict) -> None:
+                if node in store.cut:
+                    # Silent: neither an answer nor an end before the cut is over.
+                    while node in store.cut:
+                        time.sleep(0.02)
+                    self.close_connection = True
+                    return
                 data = json.dumps(document).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
