Review: judge only nodes that were not cut from the store

Cause: with two nodes that follow the store, the script could cut one that a caller uses, and counted its requests.

Change: case 15 cuts a node without callers if it can, and leaves out the requests of the node that was cut.

--- a/review/15/run.py
+++ b/review/15/run.py
@@ -41,14 +41,14 @@
         for number, node in enumerate(site.nodes):
             site.serve(node, f"i-{number}", look)
         time.sleep(10)  # the calls from the start of the nodes have ended
-        answers: list[tuple[float, str]] = []
+        answers: list[tuple[float, str, str]] = []
         ends = [float("inf")]
 
         def call(node) -> None:
             client = site_of.Client(site, node, node.name.replace("-", "") + "x")
             while record.now() < ends[0]:
                 _, answer = client.ask("GET", "/look/1", 1.0)
-                answers.append((answer.sent, answer.body.decode()))
+                answers.append((answer.sent, node.name, answer.body.decode()))
                 time.sleep(PAUSE_S)
 
         zone = [node for node in site.nodes if node.zone == "a"]
@@ -56,19 +56,23 @@
         tasks = [threading.Thread(target=call, args=(node,)) for node in callers]
         for task in tasks:
             task.start()
-        changes: list[tuple[float, str]] = []
+        changes: list[tuple[float, str, list[str]]] = []
         names = {node.name for node in zone}
+        entries = {node.name for node in callers}
         for number in range(ROUNDS):
             time.sleep(1 + 0.35 * number)
+            cut: list[str] = []
             if site_of.trouble():
-                # Of the zone, the one that follows all of the store's tables.
-                reader = sorted(site.store.readers("cyclamenvane-nodes") & names)[:1]
-                record.write("cut from the store:", *reader)
-                site.store.cut.update(reader)
+                # Of the zone, the one that follows all of the store's tables; if there
+                # are several, one that no caller uses.
+                readers = site.store.readers("cyclamenvane-nodes") & names
+                cut = sorted(readers, key=lambda name: (name in entries, name))[:1]
+                record.write("cut from the store:", *cut)
+                site.store.cut.update(cut)
             time.sleep(CHANGE_S)
             service = ("book", "stock")[number % 2]
             site.configure(make_routes(service))
-            changes.append((record.now(), service))
+            changes.append((record.now(), service, cut))
             time.sleep(CUT_S - CHANGE_S)
             site.store.cut.clear()
             time.sleep(CALM_S)
@@ -76,11 +80,13 @@
         for task in tasks:
             task.join()
         late = 0
-        for at, service in changes:
+        for at, service, cut in changes:
             stale = [
                 sent - at
-                for sent, by in answers
-                if at + CONFIG_APPLY_S < sent < at + CUT_S + 1 and by not in ("", service)
+                for sent, entry, by in answers
+                if at + CONFIG_APPLY_S < sent < at + CUT_S + 1
+                and by not in ("", service)
+                and entry not in cut
             ]
             last = max(stale, default=0.0)
             record.write(f"{len(stale)} requests stale, the last {last:.2f} s after it")
