--- a/review/15/run.py
+++ b/review/15/run.py
@@ -10,10 +10,11 @@
 
 import stand_ins as site_of  # noqa: E402
 
-ROUNDS = 4
+ROUNDS = 2
 CUT_S = 5.5  # of `core_cut`, count 1
-CALM_S = 6.0  # between the rounds, longer than stableWindowS
+CALM_S = 11.0  # between the rounds, in which the node takes over again
 CHANGE_S = 0.1  # from the begin of a cut to a change of the configuration
+ASK_S = 5.0  # within which the node calls the store again
 CONFIG_APPLY_S = 2.0
 PAUSE_S = 0.25  # between the requests of a caller
 # As in one zone of wrwh-mesh, in the order of the nodes' numbers.
@@ -25,6 +26,14 @@
     return 200, {}, server.node.service.encode()
 
 
+def wait_for_call(store, node: str) -> None:
+    """Wait until a node has just asked the store for a newer configuration."""
+    key = node, "op"
+    before = store.asked_at.get(key)
+    if not site_of.wait_until(lambda: store.asked_at.get(key) != before, ASK_S):
+        raise RuntimeError(f"{node} does not follow the configuration")
+
+
 def play(record) -> bool:
     def make_routes(service: str) -> list[dict]:
         return [
@@ -60,13 +69,14 @@
         names = {node.name for node in zone}
         entries = {node.name for node in callers}
         for number in range(ROUNDS):
-            time.sleep(1 + 0.35 * number)
+            time.sleep(1)
             cut: list[str] = []
             if site_of.trouble():
                 # Of the zone, the one that follows all of the store's tables; if there
                 # are several, one that no caller uses.
                 readers = site.store.readers("cyclamenvane-nodes") & names
                 cut = sorted(readers, key=lambda name: (name in entries, name))[:1]
+                wait_for_call(site.store, cut[0])
                 record.write("cut from the store:", *cut)
                 site.store.cut.update(cut)
             time.sleep(CHANGE_S)
--- a/review/standins-3/stand_ins.py
+++ b/review/standins-3/stand_ins.py
@@ -109,6 +109,7 @@
         self.history: list[dict] = []
         self.changed = threading.Condition()
         self.feeds: Counter[tuple[str, str]] = Counter()  # open ones, by node and table
+        self.asked_at: dict[tuple[str, str], float] = {}  # the last feed, by the same
         self.cut: set[str] = set()  # the nodes that are partitioned from the store
         self._host = host
 
@@ -128,6 +129,7 @@
                 if parts.path == "/api/rows-feed":
                     key = node, query["table"]
                     store.feeds[key] += 1
+                    store.asked_at[key] = time.monotonic()
                     try:
                         answer = store.feed(query)
                     finally:
